--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 $(VENV)/.ready: constraints.txt requirements-dev.txt \
 		$(wildcard packages/*/pyproject.toml)
 	$(PYTHON) -m venv $(VENV)
+	$(BIN)/python -m pip install -q -c constraints.txt setuptools wheel
 	$(BIN)/python -m pip install -q -c constraints.txt -r requirements-dev.txt
 	$(BIN)/python -m pip install -q -c constraints.txt \
 		--no-build-isolation \
