--- a/packages/mulberryloom-core/src/mulberryloom_core/exceptions.py
+++ b/packages/mulberryloom-core/src/mulberryloom_core/exceptions.py
@@ -26,8 +26,6 @@
     UNKNOWN_SERVICE = 'unknown-service'
     UNKNOWN_METHOD = 'unknown-method'
     UNKNOWN_REQUEST = 'unknown-request'
-    UNKNOWN_JOB = 'unknown-job'
-    UNKNOWN_QUEUE = 'unknown-queue'
     METHOD_NOT_ALLOWED = 'method-not-allowed'
     IDEMPOTENCY_KEY_REUSED = 'idempotency-key-reused'
     IDEMPOTENCY_KEY_IN_USE = 'idempotency-key-in-use'
@@ -68,6 +66,8 @@
     CONFIGURATION_TOO_LARGE = 'configuration-too-large'
     INVALID_SETTINGS = 'invalid-settings'
     INTERNAL = 'internal'
+    UNKNOWN_JOB = 'unknown-job'
+    UNKNOWN_QUEUE = 'unknown-queue'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
