--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/keeper.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/keeper.py
@@ -40,7 +40,7 @@
     renew_ms: int = 3_000
     unanswered_ms: int = 2_500
     margin_ms: int = 300
-    wait_ms: int = 1_500
+    wait_ms: int = 800
     pause_ms: int = 300
     retry_ms: int = 150
     report_ms: int = 900
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/fleet.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/fleet.py
@@ -81,10 +81,14 @@
         room.is_accepting = report.is_alive and not report.is_draining
 
     def take_orders(
-        self, generation: int, now_ms: int, *, is_vouched: bool
+        self, generation: int, sequence: int, now_ms: int, *, is_vouched: bool
     ) -> messages.WorkerOrders:
-        """Return everything that has not been sent to the agent."""
-        self.sequence += 1
+        """Return everything that has not been sent to the agent.
+
+        :param sequence: number that rises over all workers, so that it
+            also tells the orders for two lives of one worker apart.
+        """
+        self.sequence = sequence
         self.sent_ms = now_ms
         self.is_due = False
         starts = []
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -88,6 +88,7 @@
         self._open_ids: dict[str, None] = {}
         self._needs_plan = True
         self._planned_ms = now_ms
+        self._last_sequence = 0
         self._blocked_reason_by_step: dict[tuple[str, int], str] = {}
         self._gang_failure: dict[tuple[str, int, int], int] = {}
         self.batch_in_flight = False
@@ -302,6 +303,7 @@
                 continue
             if not run.is_confirmed:
                 run.is_confirmed = True
+                run.progress_ms = now_ms
                 run.sent_sequence = run.sent_sequence or link.sequence or 1
                 _log.info(
                     'run confirmed',
@@ -311,6 +313,7 @@
                     worker=run.run.worker,
                     after_ms=now_ms - run.started_ms,
                 )
+            run.listed_ms = now_ms
             if item.progress > run.progress:
                 run.progress = item.progress
                 run.progress_ms = now_ms
@@ -670,16 +673,20 @@
         """Return the orders that are due, by the agents' peer names."""
         options = self._options
         is_vouched = now_ms - self.confirmed_ms < options.vouch_ms
-        return [
-            (
-                link.node,
-                link.take_orders(
-                    self.generation, now_ms, is_vouched=is_vouched
-                ),
+        orders = []
+        for link in self._link_by_key.values():
+            is_due = now_ms - link.sent_ms >= options.heartbeat_ms
+            if not link.is_due and not is_due:
+                continue
+            self._last_sequence += 1
+            made = link.take_orders(
+                self.generation,
+                self._last_sequence,
+                now_ms,
+                is_vouched=is_vouched,
             )
-            for link in self._link_by_key.values()
-            if link.is_due or now_ms - link.sent_ms >= options.heartbeat_ms
-        ]
+            orders.append((link.node, made))
+        return orders
 
 
 def _run_end(how: str) -> jobs.RunEnd:
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/evacuation.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/evacuation.py
@@ -33,7 +33,7 @@
                 if worker.is_draining:
                     if self._must_leave(run, worker, now_ms):
                         yield run, 'worker drains'
-                elif self._should_leave_stalled(run, now_ms):
+                elif health.is_stalled(run, self._options):
                     health.note_failure(worker, now_ms, self._options)
                     yield run, 'no progress'
 
@@ -53,6 +53,3 @@
         if not run.step.is_checkpointed:
             return True
         return left_ms <= options.stop_grace_ms + options.drain_margin_ms
-
-    def _should_leave_stalled(self, run: ActiveRun, now_ms: int) -> bool:
-        return health.is_stalled(run, now_ms, self._options)
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/health.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/health.py
@@ -26,14 +26,15 @@
     worker.suspect_until_ms = now_ms + min(pause_ms, options.max_suspect_ms)
 
 
-def is_stalled(run: ActiveRun, now_ms: int, options: PlanOptions) -> bool:
+def is_stalled(run: ActiveRun, options: PlanOptions) -> bool:
     """Whether a run has made no progress for too long.
 
-    A whole percent of a long task takes its time as well.
+    Counts up to the last time that the worker listed it; a whole percent
+    of a long task takes its time as well.
     """
     if not run.is_confirmed or run.step.is_lasting:
         return False
     expected_ms = run.step.estimate_ms or options.default_estimate_ms
     percent_ms = expected_ms // 100
     patience_ms = options.stalled_ms + 4 * percent_ms
-    return now_ms - run.progress_ms > patience_ms
+    return run.listed_ms - run.progress_ms > patience_ms
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/options.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/options.py
@@ -40,7 +40,7 @@
     trusted_progress: int = 5
     core_second_worth: float = 0.0016
     restart_wait_ms: int = 2_000
-    stalled_ms: int = 2_200
+    stalled_ms: int = 2_800
     drain_margin_ms: int = 500
     spread_wait_ms: int = 1_200
     max_reservations: int = 2
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/room.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/room.py
@@ -25,6 +25,7 @@
     :param sent_sequence: orders that carried the start; ``0`` for none.
     :param progress: percent of the work that is done.
     :param progress_ms: when the progress last grew.
+    :param listed_ms: when the worker last listed it as running.
     """
 
     job: jobs.Job
@@ -41,6 +42,7 @@
     sent_sequence: int = 0
     progress: int = 0
     progress_ms: int = 0
+    listed_ms: int = 0
 
     @property
     def name(self) -> str:
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/oracle.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/oracle.py
@@ -74,12 +74,18 @@
                 self.done_tasks.add(end.task)
 
     def note_observed(self, worker: WorkerStandIn, observed: int) -> None:
-        """Take in that ends were acknowledged to a worker."""
+        """Take in that ends were acknowledged to a worker.
+
+        One after which the worker's lease lapsed does not count, since the
+        task may have been started elsewhere by then.
+        """
         for end in worker.ends:
             key = (worker.worker, worker.boot, end.sequence)
             if end.sequence > observed or key in self._counted_ends:
                 continue
             self._counted_ends.add(key)
+            if end.sequence in worker.lapsed_ends:
+                continue
             if end.how == jobs.RunEnd.DONE.value:
                 self._observed_done.add(end.task)
             elif end.how == jobs.RunEnd.FAILED.value:
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/worker.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/worker.py
@@ -70,6 +70,8 @@
         self.is_stuck = False
         self.run_by_task: dict[str, WorkerRun] = {}
         self.ends: list[messages.EndedTask] = []
+        #: Ends after which the lease lapsed before they were acknowledged.
+        self.lapsed_ends: set[int] = set()
         self._work_of = work_of
         self._offset_ms = clock_offset_ms
         self._lease_limit_ms = lease_limit_ms
@@ -182,6 +184,7 @@
             present; a gang works only then.
         """
         if self.clock_ms(now_ms) > self._lease_end_ms:
+            self.lapsed_ends.update(end.sequence for end in self.ends)
             for run in list(self.run_by_task.values()):
                 self.end(run, jobs.RunEnd.LAPSED)
         for run in list(self.run_by_task.values()):
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/world.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/world.py
@@ -299,7 +299,7 @@
         ]
         if not ends:
             return
-        last = ends[-1]
+        last = max(ends, key=lambda end: end.run_number)
         prefix = task.rpartition('.')[0]
         how = jobs.RunEnd.BROKEN
         if last.how == jobs.RunEnd.DONE.value:
@@ -335,9 +335,14 @@
 
     def _call_worker(self, agent: _Agent, call: keepers.Call) -> None:
         keeper, worker = agent.keeper, agent.worker
+        if isinstance(call, runner.HoldCall):
+            # Ends are acknowledged only over a connection that has answered.
+            if agent.connected_boot != worker.boot:
+                call = dataclasses.replace(call, observed=0)
 
         def answer(reply: t.Any) -> None:
             if isinstance(call, runner.HoldCall):
+                agent.connected_boot = reply.boot or agent.connected_boot
                 keeper.on_held(call, reply, self.now_ms)
             elif isinstance(call, runner.StartCall):
                 keeper.on_started(call, reply, self.now_ms)
@@ -355,7 +360,8 @@
             if worker is not agent.worker:
                 return None
             if isinstance(call, runner.HoldCall):
-                return self._hold(agent, worker, call)
+                self.oracle.note_observed(worker, call.observed)
+                return worker.hold(call, self.now_ms)
             if isinstance(call, runner.StopCall):
                 return worker.stop(call, self.now_ms)
             before = worker.run_by_task.get(call.start.task)
@@ -380,19 +386,6 @@
         else:
             self._after(self.random.randrange(1, 20), arrive)
 
-    def _hold(
-        self,
-        agent: _Agent,
-        worker: workers.WorkerStandIn,
-        call: runner.HoldCall,
-    ) -> runner.HoldReply:
-        """Hold a worker; ends are acknowledged on a known connection."""
-        if agent.connected_boot != worker.boot:
-            agent.connected_boot = worker.boot
-            call = dataclasses.replace(call, observed=0)
-        self.oracle.note_observed(worker, call.observed)
-        return worker.hold(call, self.now_ms)
-
     def _step_entry(self, entry: _Entry) -> None:
         leader = entry.leader
         if leader.is_deposed:
