Bound reclaim beyond the guarantee by the gain against waiting

Change: the gain is counted against the expected natural start, and only half of it may be spent. Ruled out: repeated victims for one start, since stopping runs count as free.

--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/options.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/options.py
@@ -21,6 +21,8 @@
         more about the end of a run than the declared duration.
     :param core_second_worth: worth of one core-second of work, as the
         deployment prices work that is thrown away.
+    :param trusted_gain: share of an expected gain that may be spent on
+        work that is thrown away for it.
     :param restart_wait_ms: expected wait of stopped work for new room.
     :param stalled_ms: time without progress after which a run counts as
         standing still.
@@ -39,6 +41,7 @@
     max_suspect_ms: int = 30_000
     trusted_progress: int = 5
     core_second_worth: float = 0.0016
+    trusted_gain: float = 0.5
     restart_wait_ms: int = 2_000
     stalled_ms: int = 2_800
     drain_margin_ms: int = 500
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
@@ -103,6 +103,7 @@
         self._reserver = Reserver(self._estimator)
         self._evacuation = Evacuation(options, self._estimator)
         self._since_by_step: dict[tuple[str, int, int], int] = {}
+        self._spent_by_job: dict[str, float] = {}
 
     def plan(
         self,
@@ -120,6 +121,7 @@
         :param open_jobs: jobs that are not final.
         """
         waiting_jobs = list(open_jobs)
+        self._estimator.learn(waiting_jobs)
         for worker in workers:
             worker.recount()
         entitled_ids = _entitled(waiting_jobs, catalogue)
@@ -132,6 +134,12 @@
             for waiting in self._waiting(job, now_ms, wall_ms, seen):
                 self._place(waiting, current)
         self._since_by_step = seen
+        open_ids = {job.job_id for job in waiting_jobs}
+        self._spent_by_job = {
+            job_id: spent
+            for job_id, spent in self._spent_by_job.items()
+            if job_id in open_ids
+        }
         return current.plan
 
     def _turn(self, job: jobs.Job, current: _Round) -> tuple[t.Any, ...]:
@@ -349,12 +357,25 @@
     def _is_starting(task: jobs.Task, current: _Round) -> bool:
         return any(start.task is task for start in current.plan.starts)
 
-    def _gain(self, job: jobs.Job, current: _Round) -> float:
-        """Return what an urgent job gains by starting soon."""
+    def _gain(
+        self, job: jobs.Job, natural: Reservation | None, current: _Round
+    ) -> float:
+        """Return what an urgent job gains if room is cleared for it.
+
+        Expected ends of other work are rough, so that only a part of the
+        gain is counted on.
+
+        :param natural: where and when it could start without that.
+        """
+        options = self._options
         prospect = self._estimator.prospect(job)
-        soon = prospect.share(current.wall_ms, self._options.stop_grace_ms)
-        later = prospect.share(current.wall_ms, self._options.restart_wait_ms)
-        return worth.weight(job) * (soon - later)
+        soon = prospect.share(current.wall_ms, options.stop_grace_ms)
+        later = 0.0
+        if natural is not None:
+            wait_ms = max(0, natural.start_ms - current.now_ms)
+            later = prospect.share(current.wall_ms, wait_ms)
+        gain = self._estimator.weight(job) * (soon - later)
+        return gain * options.trusted_gain
 
     def _reserve(
         self,
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/reclaim.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/reclaim.py
@@ -150,7 +150,7 @@
         delay_ms = options.stop_grace_ms + redo_ms + options.restart_wait_ms
         before = prospect.share_at(wall_ms + left_ms)
         after = prospect.share_at(wall_ms + left_ms + delay_ms)
-        harm = worth.weight(run.job) * (before - after)
+        harm = self._estimator.weight(run.job) * (before - after)
         return members * lost * options.core_second_worth + harm
 
 
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/worth.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/worth.py
@@ -16,6 +16,11 @@
 _LATE_SHARE = 0.35
 #: A job is late, but still of use, up to this many times its target.
 _LATE_FACTOR = 3
+#: Part of the worth that does not depend on the size, the part that does,
+#: and the most that size can give.
+_BASE_SIZE = 0.3
+_SIZE_SHARE = 0.7
+_MOST_SIZE = 4.0
 _MS_PER_S = 1_000
 _MILLIS_PER_CORE = 1_000
 
@@ -59,6 +64,43 @@
 
     def __init__(self, options: PlanOptions) -> None:
         self._options = options
+        self._work_by_id: dict[str, float] = {}
+        self._mean_by_queue: dict[str, tuple[float, int]] = {}
+
+    def learn(self, open_jobs: t.Iterable[jobs.Job]) -> None:
+        """Take the sizes of jobs into the mean of their queues."""
+        work_by_id = {}
+        for job in open_jobs:
+            work = self._work_by_id.get(job.job_id)
+            if work is None:
+                work = self._work(job)
+                total, count = self._mean_by_queue.get(
+                    job.terms.queue, (0.0, 0)
+                )
+                self._mean_by_queue[job.terms.queue] = total + work, count + 1
+            work_by_id[job.job_id] = work
+        self._work_by_id = work_by_id
+
+    def _work(self, job: jobs.Job) -> float:
+        """Return the core-milliseconds of a job by its declaration."""
+        return sum(
+            step.tasks * self.step_ms(step) * cores(step, self._options)
+            for step in job.spec.steps
+        )
+
+    def weight(self, job: jobs.Job) -> float:
+        """Return the worth of a job that is in time.
+
+        It grows with the job's work against the mean of its queue, as the
+        deployments state it.
+        """
+        worth = _WORTH_BY_PRIORITY.get(job.terms.priority, _LEAST_WORTH)
+        total, count = self._mean_by_queue.get(job.terms.queue, (0.0, 0))
+        work = self._work_by_id.get(job.job_id)
+        if not total or work is None:
+            return worth
+        size = work * count / total
+        return worth * min(_MOST_SIZE, _BASE_SIZE + _SIZE_SHARE * size)
 
     def step_ms(self, step: jobs.Step) -> int:
         """Return how long a task of a step is expected to run."""
@@ -108,11 +150,6 @@
         )
 
 
-def weight(job: jobs.Job) -> float:
-    """Return the worth of a job that is in time."""
-    return _WORTH_BY_PRIORITY.get(job.terms.priority, _LEAST_WORTH)
-
-
 def cores(step: jobs.Step, options: PlanOptions) -> float:
     """Return the cores that one task of a step counts as."""
     plain = step.cpu_millis / _MILLIS_PER_CORE
