Call the gain of a reclaim as it is defined, and outlive a failed plan

Cause: the commit before changed a signature but, through a replacement that found no match, not its caller; every plan with an urgent job beyond its guarantee raised and ended the leader's clockwork. The clockwork now logs a failed plan and goes on.

--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/entry.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/entry.py
@@ -578,7 +578,11 @@
         while not leader.is_deposed:
             now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
             leader.tick(now_ms, wall_ms)
-            leader.plan(now_ms, wall_ms)
+            try:
+                leader.plan(now_ms, wall_ms)
+            except Exception:
+                # What runs is still looked after when planning fails.
+                _log.exception('plan failed')
             self._writes_due.set()
             for node, orders in leader.take_orders(now_ms):
                 role = identity.Role.AGENT
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
@@ -344,12 +344,20 @@
         if clearance is None:
             return False
         is_entitled = job.job_id in current.entitled_ids
-        if not is_entitled and clearance.cost > self._gain(job, current):
-            return False
-        for run in clearance.victims:
-            run_job = run.job.job_id
-            current.plan.stops.append(Stop(run, f'reclaimed for {job.job_id}'))
-            assert run_job != job.job_id
+        spent = self._spent_by_job.get(job.job_id, 0.0) + clearance.cost
+        if not is_entitled:
+            natural = self._reserver.find(
+                waiting.step,
+                len(idle),
+                candidates,
+                current.now_ms,
+                in_one_rack=in_one_rack,
+            )
+            if spent > self._gain(job, natural, current):
+                return False
+        self._spent_by_job[job.job_id] = spent
+        reason = f'reclaimed for {job.job_id}'
+        current.plan.stops += [Stop(run, reason) for run in clearance.victims]
         self._keep(waiting.step, clearance.tasks_by_worker, current)
         return True
 
