--- a/packages/mulberryloom-core/src/mulberryloom_core/connection/http_server.py
+++ b/packages/mulberryloom-core/src/mulberryloom_core/connection/http_server.py
@@ -1,6 +1,7 @@
 """HTTP server over h11 that hands whole requests to a handler."""
 
 import asyncio
+import socket
 import typing as t
 
 import h11
@@ -72,6 +73,12 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         return Address(host, port)
 
+    async def serve_on(self, listener: socket.socket) -> None:
+        """Accept connections of a socket that listens already."""
+        self._server = await asyncio.start_server(
+            self._serve, sock=listener, limit=_READ_BYTES
+        )
+
     def stop_accepting(self) -> None:
         """Close the listening socket; open requests go on."""
         self._is_stopping = True
--- a/packages/mulberryloom-core/src/mulberryloom_core/version/__init__.py
+++ b/packages/mulberryloom-core/src/mulberryloom_core/version/__init__.py
@@ -1,11 +1,22 @@
 """What lives as long as one version of the configuration."""
 
-from .follower import Follower
-from .ticket import Applied
-from .ticket import PackingCheck
-from .ticket import Ticket
-from .writer import TicketDone
-from .writer import Writer
+from .. import exports
+
+__getattr__ = exports.lazy(
+    __name__,
+    {
+        '.follower': ('Follower',),
+        '.ticket': (
+            'Applied',
+            'PackingCheck',
+            'Ticket',
+        ),
+        '.writer': (
+            'TicketDone',
+            'Writer',
+        ),
+    },
+)
 
 __all__ = (
     'Applied',
