--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/__init__.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/__init__.py
@@ -1,9 +1,19 @@
 """Decisions on jobs with steps: order, placement and reclaim."""
 
+from . import health
+from . import worth
 from .options import PlanOptions
 from .planner import JobPlanner
 from .planner import Plan
 from .room import ActiveRun
 from .room import WorkerRoom
 
-__all__ = ['ActiveRun', 'JobPlanner', 'Plan', 'PlanOptions', 'WorkerRoom']
+__all__ = [
+    'ActiveRun',
+    'JobPlanner',
+    'Plan',
+    'PlanOptions',
+    'WorkerRoom',
+    'health',
+    'worth',
+]
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/options.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/options.py
@@ -21,6 +21,9 @@
         more about the end of a run than the declared duration.
     :param core_second_worth: worth of one core-second of work, as the
         deployment prices work that is thrown away.
+    :param stop_cost: worth of not stopping a run at all: a stop and a new
+        start keep about 20 cores idle for a second. It also makes room
+        that is being cleared the cheapest in the next round.
     :param trusted_gain: share of an expected gain that may be spent on
         work that is thrown away for it.
     :param restart_wait_ms: expected wait of stopped work for new room.
@@ -41,6 +44,7 @@
     max_suspect_ms: int = 30_000
     trusted_progress: int = 5
     core_second_worth: float = 0.0016
+    stop_cost: float = 0.03
     trusted_gain: float = 0.5
     restart_wait_ms: int = 2_000
     stalled_ms: int = 2_800
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/reclaim.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/reclaim.py
@@ -151,7 +151,8 @@
         before = prospect.share_at(wall_ms + left_ms)
         after = prospect.share_at(wall_ms + left_ms + delay_ms)
         harm = self._estimator.weight(run.job) * (before - after)
-        return members * lost * options.core_second_worth + harm
+        waste = members * lost * options.core_second_worth
+        return options.stop_cost + waste + harm
 
 
 def _may_stop(run: ActiveRun, urgent: jobs.Job) -> bool:
