--- a/packages/mulberryloom-policy/tests/test_job_planner.py
+++ b/packages/mulberryloom-policy/tests/test_job_planner.py
@@ -195,12 +195,15 @@
     for _ in range(4):
         region.submit(_step(8, 1, is_checkpointed=True))
     region.round()
-    region.submit(_step(1, 8), priority=0)
+    region.submit(_step(2, 8, is_gang=True), priority=0)
     stopped = len(region.round(500).stops)
-    for _ in range(10):
-        region.end_stopped()
+    for index in range(40):
+        worker = region.workers[index % 4]
+        for run in list(worker.run_by_key.values())[: index % 3]:
+            if run.is_stopping:
+                region.end(run)
         stopped += len(region.round(20).stops)
-    assert stopped == 8
+    assert stopped == 16
 
 
 def test_urgent_job_beyond_the_guarantee_throws_little_away():
@@ -282,3 +285,14 @@
     region = Region([_worker(1, 'r1'), _worker(2, 'r2')])
     region.submit(_step(1, 1, rack='r2'))
     assert region.round().starts[0].worker.rack == 'r2'
+
+
+def test_room_that_is_being_cleared_goes_before_any_other():
+    region = Region([_worker(1), _worker(2)])
+    region.submit(_step(8, 1, is_checkpointed=True))
+    region.submit(_step(8, 1, is_checkpointed=True))
+    region.round()
+    for run in region.workers[1].run_by_key.values():
+        run.is_stopping = True
+    region.submit(_step(1, 8), priority=0)
+    assert region.round(100).stops == []
