--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/process.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/process.py
@@ -10,6 +10,7 @@
 from mulberryloom_core import effects
 from mulberryloom_core import identity
 from mulberryloom_core import messages
+from mulberryloom_core.process import tally
 import structlog
 
 from . import keeper as keepers
@@ -68,6 +69,7 @@
             clock,
             SESSION_OPTIONS,
         )
+        self.tally = tally.Tally()
         self._keeper = keepers.Keeper(options, clock.now_ms())
         self._addresses: dict[identity.Address, None] = dict.fromkeys(seeds)
         self._leader = ''
@@ -125,6 +127,13 @@
         self._keeper.on_leave(worker)
         self._wake.set()
 
+    def metrics(self) -> str:
+        """Return all counters and gauges as text."""
+        self.tally.gauge('has_leader', int(bool(self._leader)))
+        self.tally.gauge('leader_generation', self._leader_generation)
+        self.tally.gauge('known_entries', len(self._addresses))
+        return '\n'.join([*self.tally.lines(), ''])
+
     def _spawn(self, work: t.Coroutine[t.Any, t.Any, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
@@ -223,11 +232,14 @@
         match call:
             case runner.HoldCall():
                 held = await self._runner.hold(call)
+                self.tally.count('holds_total', held.status.value)
                 self._keeper.on_held(call, held, self._clock.now_ms())
             case runner.StartCall():
                 started = await self._runner.start(call)
+                self.tally.count('starts_total', started.status.value)
                 self._keeper.on_started(call, started, self._clock.now_ms())
             case runner.StopCall():
                 stopped = await self._runner.stop(call)
+                self.tally.count('stops_total', stopped.status.value)
                 self._keeper.on_stopped(call, stopped, self._clock.now_ms())
         self._wake.set()
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/entry.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/entry.py
@@ -12,6 +12,7 @@
 from mulberryloom_core import exceptions
 from mulberryloom_core import identity
 from mulberryloom_core import messages
+from mulberryloom_core.process import tally
 from mulberryloom_core.request import jobs
 from mulberryloom_core import store
 from mulberryloom_core.version import catalogue as catalogues
@@ -102,6 +103,7 @@
         self._options = options
         self._election = election.ElectionOptions()
         self.name = f'{me.node}.{secrets.token_hex(4)}'
+        self.tally = tally.Tally()
         self._node = nodes.Node.from_identity(
             identity.PeerId(identity.Role.ENTRY, self.name, 1),
             me.secret,
@@ -110,12 +112,12 @@
         )
         self._calls = calls.PeerCalls(self._node)
         self.store = gateway.StoreGateway(
-            direct_store, self._calls, self._relay_peers, clock
+            direct_store, self._calls, self._relay_peers, clock, self.tally
         )
         self._follower = catalogue_follower.CatalogueFollower(
             source, self.store, self._on_catalogue
         )
-        self.intake = intake.Intake(self.store, self, clock)
+        self.intake = intake.Intake(self.store, self, clock, self.tally)
         self._peer_by_name: dict[str, _Peer] = {}
         self._agent_names: set[str] = set()
         self._addresses: dict[identity.Address, None] = dict.fromkeys(me.seeds)
@@ -170,6 +172,17 @@
     def _has_peers(self) -> bool:
         return bool(self._fresh_peers())
 
+    def metrics(self) -> str:
+        """Return all counters, gauges and histograms as text."""
+        self.tally.gauge('is_leading', int(self.is_leading))
+        self.tally.gauge('is_ready', int(self.is_ready))
+        self.tally.gauge('catalogue_version', self._follower.version)
+        self.tally.gauge('known_entries', len(self._fresh_peers()) + 1)
+        self.tally.gauge('agent_sessions', len(self._agent_names))
+        if self._leader is not None:
+            self._leader.update_gauges()
+        return '\n'.join([*self.tally.lines(), ''])
+
     # Life
 
     async def start(self) -> None:
@@ -513,7 +526,8 @@
     async def _lead(self, generation: int) -> None:
         """Rebuild the state of all jobs, then lead."""
         now_ms = self._clock.now_ms()
-        leader = leaders.Leader(generation, self._options, now_ms)
+        leader = leaders.Leader(generation, self._options, now_ms, self.tally)
+        self.tally.count('leader_terms_total')
         entries = await self._read_records()
         if entries is None:
             _log.warning('records not read', generation=generation)
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/gateway.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/gateway.py
@@ -4,6 +4,7 @@
 
 from mulberryloom_core import clock as clocks
 from mulberryloom_core import exceptions
+from mulberryloom_core.process import tally
 from mulberryloom_core import store
 from result import Err
 from result import Ok
@@ -32,6 +33,7 @@
     :param direct: client of the store.
     :param peer_calls: calls to other entries.
     :param peers: names of the entries that can be asked, best first.
+    :param counts: where calls are counted.
     """
 
     def __init__(
@@ -40,14 +42,15 @@
         peer_calls: calls.PeerCalls,
         peers: Peers,
         clock: clocks.Clock,
+        counts: tally.Tally,
     ) -> None:
         self._direct = direct
         self._peer_calls = peer_calls
         self._peers = peers
         self._clock = clock
+        self._tally = counts
         self._failed_ms = -DETOUR_MS
         self._is_direct_up = True
-        self.relayed_count = 0
         self.reached_ms = clock.now_ms()
 
     @property
@@ -87,6 +90,10 @@
             answer.unwrap_err().kind
             is not exceptions.ErrorKind.STORE_UNAVAILABLE
         )
+        kind = type(request).__name__
+        self._tally.count('store_calls_total', kind)
+        if not is_up:
+            self._tally.count('store_failures_total', kind)
         self._note(request, answer, is_up)
         return answer
 
@@ -127,7 +134,7 @@
                 timeout_ms=RELAY_TIMEOUT_MS,
             )
             if answer.is_ok():
-                self.relayed_count += 1
+                self._tally.count('store_relayed_total')
                 self.reached_ms = self._clock.now_ms()
                 return Ok(store_codec.decode_reply(answer.unwrap()))
             error = answer.unwrap_err()
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/intake.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/intake.py
@@ -9,6 +9,7 @@
 
 from mulberryloom_core import clock as clocks
 from mulberryloom_core import exceptions
+from mulberryloom_core.process import tally
 from mulberryloom_core.request import job_records
 from mulberryloom_core.request import jobs
 from mulberryloom_core import store
@@ -50,6 +51,7 @@
 
     :param job_store: the store, directly or by a detour.
     :param leader: the leader, wherever it is.
+    :param counts: where answers are counted.
     """
 
     def __init__(
@@ -57,10 +59,12 @@
         job_store: store.Store,
         leader: LeaderAccess,
         clock: clocks.Clock,
+        counts: tally.Tally,
     ) -> None:
         self._store = job_store
         self._leader = leader
         self._clock = clock
+        self._tally = counts
 
     async def submit(
         self,
@@ -117,6 +121,7 @@
     def _accepted(
         self, job: jobs.Job, entry: store.Entry, outcome: str
     ) -> Result[None, exceptions.Error]:
+        self._tally.count('submissions_total', outcome)
         _log.info(
             'job accepted',
             job_id=job.job_id,
@@ -136,6 +141,7 @@
         answer: Result[store.StoreReply, exceptions.Error],
         ran: exceptions.Ran,
     ) -> Result[None, exceptions.Error]:
+        self._tally.count('submissions_total', f'refused-{ran.value}')
         detail = 'record not stored'
         if answer.is_err():
             detail = answer.unwrap_err().detail
@@ -237,6 +243,7 @@
         reply = answer.unwrap()
         if not isinstance(reply, store.Written):
             return Err(exceptions.Error.from_kind(_Kind.STORE_CONFLICT))
+        self._tally.count('cancels_total')
         _log.info('job cancelled', job_id=job_id, revision=reply.revision)
         self._leader.notify_changed(store.Entry(key, value, reply.revision))
         return Ok(jobs.JobState.CANCELLED)
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -8,6 +8,7 @@
 import dataclasses
 
 from mulberryloom_core import messages
+from mulberryloom_core.process import tally
 from mulberryloom_core.request import jobs
 from mulberryloom_core import store
 from mulberryloom_core.version import catalogue as catalogues
@@ -67,12 +68,18 @@
     """One term of leadership.
 
     :param generation: revision of the leader's key.
+    :param counts: where decisions are counted.
     """
 
     def __init__(
-        self, generation: int, options: LeaderOptions, now_ms: int
+        self,
+        generation: int,
+        options: LeaderOptions,
+        now_ms: int,
+        counts: tally.Tally | None = None,
     ) -> None:
         self.generation = generation
+        self._tally = counts or tally.Tally()
         self.catalogue: catalogues.Catalogue | None = None
         self.is_deposed = False
         self.confirmed_ms = now_ms
@@ -154,6 +161,14 @@
             for job in found
         )
 
+    def update_gauges(self) -> None:
+        """Bring the gauges of the leader up to date."""
+        links = self._link_by_key.values()
+        self._tally.gauge('workers', len(links))
+        self._tally.gauge('active_runs', len(self._run_by_key))
+        self._tally.gauge('known_jobs', len(self._open_ids))
+        self._tally.gauge('unwritten_jobs', self._ledger.dirty_count)
+
     def next_batch(self) -> ledgers.Batch | None:
         """Return the next write; the last one must be settled."""
         return self._ledger.next_batch()
@@ -304,6 +319,9 @@
                 continue
             if not run.is_confirmed:
                 run.is_confirmed = True
+                self._tally.observe_ms(
+                    'start_duration_ms', now_ms - run.started_ms
+                )
                 run.progress_ms = now_ms
                 run.sent_sequence = run.sent_sequence or link.sequence or 1
                 _log.info(
@@ -358,6 +376,7 @@
         wall_ms: int,
     ) -> None:
         how = _run_end(end.how)
+        self._tally.count('runs_ended_total', how.value)
         job, task = run.job, run.task
         _log.info(
             'run ended',
@@ -459,6 +478,10 @@
         """Note a job's end, and stop what still runs."""
         if not job.ended_ms:
             job.ended_ms = wall_ms
+            self._tally.count('jobs_ended_total', job.state.value)
+            self._tally.observe_ms(
+                'job_duration_ms', max(0, wall_ms - job.accepted_ms)
+            )
             _log.info(
                 'job ended',
                 job_id=job.job_id,
@@ -504,6 +527,7 @@
         if run.is_stopping:
             return
         run.is_stopping = True
+        self._tally.count('runs_stopped_total', reason.partition(' ')[0])
         _log.info(
             'run stopping',
             job_id=run.job.job_id,
@@ -625,7 +649,7 @@
             self._stop(stop.run, stop.reason)
             self._stop_gang(stop.run, stop.reason)
         for start in plan.starts:
-            self._start(start, now_ms)
+            self._start(start, now_ms, wall_ms)
         self._note_blocked(plan.blocked)
 
     def _note_blocked(self, blocked: list[planner.Blocked]) -> None:
@@ -640,7 +664,7 @@
                 )
         self._blocked_reason_by_step = reason_by_step
 
-    def _start(self, start: planner.Start, now_ms: int) -> None:
+    def _start(self, start: planner.Start, now_ms: int, wall_ms: int) -> None:
         job, task, room = start.job, start.task, start.worker
         step = job.step_of(task.key)
         number = task.last_run + 1
@@ -649,6 +673,10 @@
             started = [m.run.number for m in members if m.run]
             number = max([m.last_run for m in members]) + 1
             number = started[0] if started else number
+        if not job.has_started:
+            self._tally.observe_ms(
+                'job_wait_ms', max(0, wall_ms - job.accepted_ms)
+            )
         task.last_run = number
         task.run = jobs.Run(number, room.worker, room.boot)
         run = ActiveRun(
