Know that work is lost when its VM carries another worker

Change: a run's record names the VM; a later worker on that VM ends what ran there. An entry that sees another process in the leader's place takes over after 0.2 s instead of 1 s.

--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/process.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/process.py
@@ -1,7 +1,6 @@
 """The agent of one worker: its sessions with entries, and its calls."""
 
 import asyncio
-import secrets
 import typing as t
 
 from mulberryloom_core import clock as clocks
@@ -59,7 +58,7 @@
         clock: clocks.Clock,
         options: keepers.KeeperOptions,
     ) -> None:
-        self.name = f'{node}.{secrets.token_hex(4)}'
+        self.name = identity.process_name(node)
         self._clock = clock
         self._runner = worker_runner
         self._directory = directory
--- a/packages/mulberryloom-core/src/mulberryloom_core/identity.py
+++ b/packages/mulberryloom-core/src/mulberryloom_core/identity.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import secrets
 
 
 class Role(enum.Enum):
@@ -60,3 +61,16 @@
 
     def __str__(self) -> str:
         return f'{self.host}:{self.port}'
+
+
+def process_name(vm: str) -> str:
+    """Return a peer name for one process on a VM, new at every start.
+
+    A name of its own for each start needs no clock that never goes back.
+    """
+    return f'{vm}.{secrets.token_hex(4)}'
+
+
+def vm_of(name: str) -> str:
+    """Return the VM on which a process with a peer name runs."""
+    return name.rpartition('.')[0]
--- a/packages/mulberryloom-core/src/mulberryloom_core/request/job_records.py
+++ b/packages/mulberryloom-core/src/mulberryloom_core/request/job_records.py
@@ -117,7 +117,7 @@
         task.failures,
         task.checkpoint,
         task.is_done,
-        [run.number, run.worker, run.worker_boot] if run else None,
+        [run.number, run.worker, run.worker_boot, run.vm] if run else None,
     ]
 
 
--- a/packages/mulberryloom-core/src/mulberryloom_core/request/jobs.py
+++ b/packages/mulberryloom-core/src/mulberryloom_core/request/jobs.py
@@ -127,11 +127,13 @@
     :param number: rises with every start of the task.
     :param worker: id of the worker.
     :param worker_boot: start of that worker's life, Unix milliseconds.
+    :param vm: VM of the worker, which carries one worker at a time.
     """
 
     number: int
     worker: str
     worker_boot: int
+    vm: str = ''
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/election.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/election.py
@@ -51,10 +51,13 @@
 
     :param silent_ms: silence of the leader after which another entry
         takes over; three of its notices.
+    :param replaced_ms: the same when another process is seen to run in
+        its place; time for the others to be heard.
     :param stagger_ms: added for each entry that is ahead in rank.
     """
 
     silent_ms: int = 1_000
+    replaced_ms: int = 200
     stagger_ms: int = 350
 
 
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/entry.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/entry.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import dataclasses
-import secrets
 import typing as t
 
 from mulberryloom_core import clock as clocks
@@ -102,7 +101,7 @@
         self._clock = clock
         self._options = options
         self._election = election.ElectionOptions()
-        self.name = f'{me.node}.{secrets.token_hex(4)}'
+        self.name = identity.process_name(me.node)
         self.tally = tally.Tally()
         self._node = nodes.Node.from_identity(
             identity.PeerId(identity.Role.ENTRY, self.name, 1),
@@ -486,6 +485,9 @@
 
     async def _watch_leader(self) -> None:
         """Take over when nobody leads."""
+        found = await election.read_leader(self.store)
+        if found.is_ok() and found.unwrap().generation:
+            self._follow(found.unwrap())
         while True:
             await asyncio.sleep(TICK_MS / _MS_PER_S)
             if self._leader is not None or self._is_stopping:
@@ -503,7 +505,18 @@
         names = [*self._fresh_peers(), self.name]
         rank = sum(name < self.name for name in names)
         options = self._election
-        return options.silent_ms + rank * options.stagger_ms
+        silent_ms = options.replaced_ms
+        if not self._is_leader_replaced():
+            silent_ms = options.silent_ms
+        return silent_ms + rank * options.stagger_ms
+
+    def _is_leader_replaced(self) -> bool:
+        """Whether another process runs on the leader's VM by now."""
+        leader_vm = identity.vm_of(self._record.name)
+        return any(
+            identity.vm_of(name) == leader_vm and name != self._record.name
+            for name in [*self._fresh_peers(), self.name]
+        )
 
     async def _try_to_lead(self) -> None:
         seen = await election.read_leader(self.store)
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/fleet.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/fleet.py
@@ -3,6 +3,7 @@
 import dataclasses
 import typing as t
 
+from mulberryloom_core import identity
 from mulberryloom_core import messages
 from mulberryloom_policy.jobs import ActiveRun
 from mulberryloom_policy.jobs import WorkerRoom
@@ -43,6 +44,11 @@
         """Identity of this life of the worker."""
         return self.room.worker, self.room.boot
 
+    @property
+    def vm(self) -> str:
+        """VM of the worker and its agent."""
+        return identity.vm_of(self.node)
+
     @property
     def observed(self) -> int:
         """Number of the last end that is recorded, with all before it."""
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -273,22 +273,23 @@
             self._link_by_key[key].move_to(node)
 
     def _end_earlier_lives(self, link: fleet.WorkerLink, now_ms: int) -> None:
-        """Give up what ran on earlier lives of a worker.
+        """Give up what ran on earlier workers of the same VM.
 
-        A start that was sent lately may still reach the new life, so that
-        it is barred there before the task can start again.
+        A VM carries one worker at a time. One that restarted may have kept
+        its id; a start that was sent lately may still reach the new life,
+        so that it is barred there before the task can start again.
         """
         worker, boot = link.key
         earlier = [
             key
-            for key in [*self._link_by_key, *self._orphan_by_key]
-            if key[0] == worker and key[1] < boot
+            for key, vm in self._vm_by_worker().items()
+            if (key[0] == worker or vm == link.vm) and key[1] < boot
         ]
         for key in earlier:
             old = self._link_by_key.get(key)
             runs = old.room.run_by_key if old else self._orphan_by_key[key]
             for run in list(runs.values()):
-                if self._may_still_arrive(run, now_ms):
+                if key[0] == worker and self._may_still_arrive(run, now_ms):
                     del runs[run.key]
                     run.home = link.key
                     run.is_stopping = True
@@ -296,6 +297,16 @@
             self._void_orphans(key, 'worker has restarted')
             self._drop(key, 'worker has restarted')
 
+    def _vm_by_worker(self) -> dict[fleet.WorkerKey, str]:
+        """Return the VM of each life of a worker that is known."""
+        vm_by_key = {
+            key: next(iter(runs.values())).run.vm
+            for key, runs in self._orphan_by_key.items()
+        }
+        for key, link in self._link_by_key.items():
+            vm_by_key[key] = link.vm
+        return vm_by_key
+
     def _may_still_arrive(self, run: ActiveRun, now_ms: int) -> bool:
         """Whether an order to start a run may still be under way."""
         if not run.is_recorded:
@@ -678,7 +689,8 @@
                 'job_wait_ms', max(0, wall_ms - job.accepted_ms)
             )
         task.last_run = number
-        task.run = jobs.Run(number, room.worker, room.boot)
+        link = self._link_by_key[room.worker, room.boot]
+        task.run = jobs.Run(number, room.worker, room.boot, link.vm)
         run = ActiveRun(
             job,
             task,
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/trials.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/trials.py
@@ -65,7 +65,7 @@
     choose = world.random
     agent = choose.choice(world.agents)
     entry = world.entry
-    match choose.randrange(12):
+    match choose.randrange(13):
         case 0:
             world.take_over()
         case 1:
@@ -84,6 +84,8 @@
             entry.has_agents = not entry.has_agents
         case 8:
             agent.worker.is_failing_all = not agent.worker.is_failing_all
+        case 10:
+            world.replace_worker(agent)
         case 9:
             agent.worker.is_stuck = not agent.worker.is_stuck
         case _:
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/world.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/world.py
@@ -235,6 +235,12 @@
         )
         agent.check_in_ms = self.now_ms + self.random.randrange(100, 1_000)
 
+    def replace_worker(self, agent: _Agent) -> None:
+        """Power a VM off and on; its next worker has another id."""
+        self.restart_worker(agent)
+        agent.worker.worker = f'{agent.worker.worker}x'
+        self.restart_agent(agent)
+
     def kill_entry(self, entry: _Entry) -> None:
         """End a leader's process."""
         entry.is_dead = True
--- a/packages/mulberryloom-standins/tests/test_job_simulation.py
+++ b/packages/mulberryloom-standins/tests/test_job_simulation.py
@@ -97,6 +97,19 @@
     assert sum(len(a.worker.run_by_task) for a in others) == 1
 
 
+def test_work_of_a_vm_that_lost_power_restarts_once_it_is_back():
+    world = _world()
+    world.submit('a' * 16, (_step(4, is_checkpointed=True),))
+    world.run(700)
+    for agent in world.agents:
+        world.replace_worker(agent)
+    world.kill_entry(world.entry)
+    world.run(5_500)
+    assert sum(len(a.worker.run_by_task) for a in world.agents) or (
+        world.state_of('a' * 16) is jobs.JobState.COMPLETED
+    )
+
+
 def test_store_outage_leaves_running_work_alone():
     world = _world()
     world.submit('a' * 16, (_step(2),), duration_ms=3_000)
