Move standing work later, wait briefly before a reclaim, keep gangs together

Only guaranteed work is spread early now, and slow progress counts by its own rate; work without checkpoints is moved only after a longer pause. Cause 2: guaranteed work stopped others although room was about to be free; it waits 0.6 s for that.

--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -546,6 +546,7 @@
             run=run.run.number,
             worker=run.run.worker,
             reason=reason,
+            progress=run.progress,
             lost_core_s=round(
                 worth.lost_core_seconds(
                     run, self._planned_ms, self._options.plan
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/health.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/health.py
@@ -36,5 +36,11 @@
         return False
     expected_ms = run.step.estimate_ms or options.default_estimate_ms
     percent_ms = expected_ms // 100
+    if run.progress:
+        worked_ms = run.progress_ms - run.started_ms
+        percent_ms = max(percent_ms, worked_ms // run.progress)
     patience_ms = options.stalled_ms + 4 * percent_ms
+    if not run.step.is_checkpointed:
+        # What has been done is lost by a move, so that a pause has to last.
+        patience_ms += options.stalled_ms * run.progress // 50
     return run.listed_ms - run.progress_ms > patience_ms
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/options.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/options.py
@@ -26,6 +26,9 @@
         that is being cleared the cheapest in the next round.
     :param trusted_gain: share of an expected gain that may be spent on
         work that is thrown away for it.
+    :param natural_wait_ms: how long guaranteed work waits for room that is
+        expected to be free; a small part of the time in which it has to
+        start.
     :param restart_wait_ms: expected wait of stopped work for new room.
     :param stalled_ms: time without progress after which a run counts as
         standing still.
@@ -46,6 +49,7 @@
     core_second_worth: float = 0.0016
     stop_cost: float = 0.03
     trusted_gain: float = 0.5
+    natural_wait_ms: int = 600
     restart_wait_ms: int = 2_000
     stalled_ms: int = 2_800
     drain_margin_ms: int = 500
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
@@ -209,8 +209,8 @@
         current: _Round,
     ) -> None:
         step, count = waiting.step, len(waiting.tasks)
-        near = self._near(waiting, candidates)
-        in_one_rack = self._wants_one_rack(waiting, near)
+        near = self._near(waiting, candidates, current)
+        in_one_rack = self._wants_one_rack(waiting, near, current)
         with _Lifted(current, self._end_ms(step, current)):
             found = placement.place_gang(
                 step, count, near, in_one_rack=in_one_rack
@@ -231,7 +231,7 @@
         present = placement.counts_by_worker(
             waiting.job, waiting.repetition, waiting.step_index
         )
-        near = self._near(waiting, candidates)
+        near = self._near(waiting, candidates, current)
         end_ms = self._end_ms(step, current)
         left = len(waiting.tasks)
         for task in waiting.tasks:
@@ -246,37 +246,43 @@
             self._make_room(waiting, near, current, in_one_rack=False)
 
     def _near(
-        self, waiting: _Waiting, candidates: list[WorkerRoom]
+        self,
+        waiting: _Waiting,
+        candidates: list[WorkerRoom],
+        current: _Round,
     ) -> list[WorkerRoom]:
         """Return the workers near the data, while waiting for them pays."""
         step = waiting.step
         if not step.rack:
             return candidates
         near = [worker for worker in candidates if worker.rack == step.rack]
-        if near and waiting.waited_ms < self._detour_ms(waiting):
+        if near and waiting.waited_ms < self._detour_ms(waiting, current):
             return near
         return candidates
 
-    def _detour_ms(self, waiting: _Waiting) -> int:
+    def _detour_ms(self, waiting: _Waiting, current: _Round) -> int:
         """Return how long waiting for the right rack is worth it.
 
-        Elsewhere the work takes longer; urgent work does not wait beyond
-        what its guarantee allows.
+        Elsewhere the work takes longer; guaranteed work does not wait
+        beyond what its guarantee allows.
         """
         options = self._options
         longer = options.spread_factor - 1
         limit_ms = int(longer * self._estimator.step_ms(waiting.step)) // 2
-        if waiting.job.terms.priority == 0:
+        if waiting.job.job_id in current.entitled_ids:
             return min(limit_ms, options.spread_wait_ms)
         return limit_ms
 
     def _wants_one_rack(
-        self, waiting: _Waiting, candidates: list[WorkerRoom]
+        self,
+        waiting: _Waiting,
+        candidates: list[WorkerRoom],
+        current: _Round,
     ) -> bool:
         """Whether a gang waits for room in one rack."""
         return (
             waiting.step.is_same_rack
-            and waiting.waited_ms < self._detour_ms(waiting)
+            and waiting.waited_ms < self._detour_ms(waiting, current)
             and placement.fits_one_rack(
                 waiting.step, len(waiting.tasks), candidates
             )
@@ -345,16 +351,18 @@
             return False
         is_entitled = job.job_id in current.entitled_ids
         spent = self._spent_by_job.get(job.job_id, 0.0) + clearance.cost
-        if not is_entitled:
-            natural = self._reserver.find(
-                waiting.step,
-                len(idle),
-                candidates,
-                current.now_ms,
-                in_one_rack=in_one_rack,
-            )
-            if spent > self._gain(job, natural, current):
+        natural = self._reserver.find(
+            waiting.step,
+            len(idle),
+            candidates,
+            current.now_ms,
+            in_one_rack=in_one_rack,
+        )
+        if is_entitled:
+            if clearance.victims and self._is_soon(waiting, natural, current):
                 return False
+        elif spent > self._gain(job, natural, current):
+            return False
         self._spent_by_job[job.job_id] = spent
         reason = f'reclaimed for {job.job_id}'
         current.plan.stops += [Stop(run, reason) for run in clearance.victims]
@@ -365,6 +373,23 @@
     def _is_starting(task: jobs.Task, current: _Round) -> bool:
         return any(start.task is task for start in current.plan.starts)
 
+    def _is_soon(
+        self,
+        waiting: _Waiting,
+        natural: Reservation | None,
+        current: _Round,
+    ) -> bool:
+        """Whether guaranteed work gets room soon without stopping any.
+
+        Expected ends are rough, so that it waits for them only briefly.
+        """
+        limit_ms = self._options.natural_wait_ms
+        return (
+            natural is not None
+            and waiting.waited_ms < limit_ms
+            and natural.start_ms - current.now_ms <= limit_ms
+        )
+
     def _gain(
         self, job: jobs.Job, natural: Reservation | None, current: _Round
     ) -> float:
--- a/packages/mulberryloom-policy/tests/test_job_planner.py
+++ b/packages/mulberryloom-policy/tests/test_job_planner.py
@@ -296,3 +296,43 @@
         run.is_stopping = True
     region.submit(_step(1, 8), priority=0)
     assert region.round(100).stops == []
+
+
+def test_slow_work_far_on_is_not_taken_for_standing():
+    region = Region([_worker(1), _worker(2)])
+    job = region.submit(_step(1, 8, estimate_ms=2_000))
+    region.round()
+    run = region.runs(job)[0]
+    run.progress = 60
+    run.progress_ms = region.now_ms + 30_000
+    run.listed_ms = run.progress_ms + 4_500
+    assert region.round(34_500).stops == []
+
+
+def test_guaranteed_job_waits_briefly_for_work_about_to_end():
+    region = Region([_worker(1)])
+    done = region.submit(_step(8, 1, estimate_ms=10_000))
+    region.round()
+    for run in region.runs(done):
+        run.progress = 97
+    region.submit(_step(1, 8), priority=0)
+    assert region.round(9_700).stops == []
+    assert len(region.round(700).stops) == 8
+
+
+def test_urgent_gang_beyond_the_guarantee_waits_for_one_rack():
+    region = Region([_worker(1, 'r1'), _worker(2, 'r1'), _worker(3, 'r2')])
+    region.submit(_step(1, 8, estimate_ms=4_000), priority=0)
+    region.round()
+    taken = next(w for w in region.workers if w.run_by_key)
+    if taken.rack == 'r2':
+        pytest.fail('the test needs the large rack to be taken in part')
+    region.submit(
+        _step(2, 8, is_gang=True, is_same_rack=True), priority=0, account='x'
+    )
+    assert region.round(100).starts == []
+    assert region.round(2_000).starts == []
+    for run in list(taken.run_by_key.values()):
+        region.end(run, is_done=True)
+    racks = {start.worker.rack for start in region.round(100).starts}
+    assert racks == {'r1'}
