--- /dev/null
+++ b/packages/mulberryloom-core/tests/test_job_records.py
@@ -0,0 +1,86 @@
+"""Job records, counts and bounded log lines."""
+
+import io
+import threading
+
+from hypothesis import given
+from hypothesis import strategies as st
+from mulberryloom_core.process import logs
+from mulberryloom_core.process import tally
+from mulberryloom_core.request import job_records
+from mulberryloom_core.request import jobs
+import pytest
+
+_STEPS = st.builds(
+    jobs.Step,
+    tasks=st.integers(1, 4),
+    cpu_millis=st.integers(0, 10_000),
+    accelerators=st.integers(0, 8),
+    is_gang=st.booleans(),
+    label=st.text(max_size=5),
+)
+
+
+@given(st.lists(_STEPS, min_size=1, max_size=3), st.data())
+def test_record_keeps_a_job(steps, data):
+    spec = jobs.JobSpec('payload', tuple(steps))
+    job = jobs.Job.from_spec('ab', spec, jobs.Terms('q', 's', 'a'), 7)
+    for task in job.task_by_key.values():
+        if data.draw(st.booleans()):
+            task.last_run = 2
+            task.run = jobs.Run(2, 'w', 5, 'vm')
+            task.checkpoint = 'c'
+    assert job_records.decode(job_records.encode(job)).unwrap() == job
+
+
+@pytest.mark.parametrize(
+    'record', [b'', b'{}', b'[]', b'\xff', b'{"format": 9}', b'null']
+)
+def test_strange_record_is_an_error(record):
+    assert job_records.decode(record).is_err()
+
+
+def test_task_names_are_read_back():
+    key = jobs.TaskKey(1, 2, 3)
+    assert jobs.parse_task_name(jobs.task_name('ab', key)) == ('ab', key)
+    for name in ('', 'ab', 'ab.1.2', 'ab.x.1.2', 'ab.1.2.3.4'):
+        assert jobs.parse_task_name(name) is None
+
+
+def test_labels_of_counters_are_bounded():
+    counts = tally.Tally()
+    for index in range(1_000):
+        counts.count('calls_total', f'label-{index}')
+    assert len(list(counts.lines())) <= tally.MAX_LABELS + 2
+
+
+def test_histogram_counts_every_duration():
+    counts = tally.Tally()
+    for duration_ms in (1, 60, 10**9):
+        counts.observe_ms('wait_ms', duration_ms)
+    lines = list(counts.lines())
+    assert 'wait_ms_bucket{le="100"} 2' in lines
+    assert 'wait_ms_count 3' in lines
+
+
+class StuckFile(io.StringIO):
+    """A file whose reader has stopped reading."""
+
+    def __init__(self):
+        super().__init__()
+        self.released = threading.Event()
+
+    def write(self, text):
+        self.released.wait(10)
+        return super().write(text)
+
+
+def test_stuck_reader_blocks_nobody_and_lines_are_counted():
+    target = StuckFile()
+    writer = logs.LineWriter(target, max_waiting=10)
+    for index in range(1_000):
+        writer.write(f'{index}\n')
+    assert writer.dropped >= 988
+    target.released.set()
+    writer.drain()
+    assert '"log lines dropped"' in target.getvalue()
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/gateway.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/gateway.py
@@ -19,6 +19,9 @@
 DETOUR_MS = 1_000
 #: Time for a relayed call; a store that is slow answers within it.
 RELAY_TIMEOUT_MS = 900
+#: Shortest and longest time after which callers shall come back.
+MIN_RETRY_AFTER_MS = 1_000
+MAX_RETRY_AFTER_MS = 3_000
 #: Other entries that are asked, one after the other.
 MAX_RELAYS = 2
 
@@ -58,6 +61,15 @@
         """Whether the last direct call was answered."""
         return self._is_direct_up
 
+    @property
+    def retry_after_ms(self) -> int:
+        """When to come back while the store cannot be reached.
+
+        An outage is expected to last as long again as it has lasted.
+        """
+        silent_ms = self._clock.now_ms() - self.reached_ms
+        return max(MIN_RETRY_AFTER_MS, min(silent_ms, MAX_RETRY_AFTER_MS))
+
     async def call(
         self, request: store.StoreRequest
     ) -> Result[store.StoreReply, exceptions.Error]:
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/intake.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/intake.py
@@ -25,14 +25,20 @@
 SUBMIT_BUDGET_MS = 1_500
 #: Pause between tries against a store that does not answer.
 RETRY_PAUSE_MS = 60
-#: When callers shall come back while the store cannot be reached.
-STORE_RETRY_AFTER_MS = 1_000
 _MS_PER_S = 1_000
 
 _Kind = exceptions.ErrorKind
 _log = structlog.get_logger(__name__)
 
 
+class PatientStore(store.Store, t.Protocol):
+    """Store that knows for how long it has not been reached."""
+
+    @property
+    def retry_after_ms(self) -> int:
+        """When to come back while it cannot be reached."""
+
+
 class LeaderAccess(t.Protocol):
     """The leader, in this process or in another one."""
 
@@ -56,7 +62,7 @@
 
     def __init__(
         self,
-        job_store: store.Store,
+        job_store: PatientStore,
         leader: LeaderAccess,
         clock: clocks.Clock,
         counts: tally.Tally,
@@ -152,7 +158,7 @@
             error = exceptions.Error.from_kind(
                 _Kind.STORE_UNAVAILABLE,
                 detail,
-                retry_after_ms=STORE_RETRY_AFTER_MS,
+                retry_after_ms=self._store.retry_after_ms,
             )
         else:
             error = exceptions.Error.from_kind(_Kind.OUTCOME_UNKNOWN, detail)
@@ -185,7 +191,7 @@
                 exceptions.Error.from_kind(
                     _Kind.STORE_UNAVAILABLE,
                     answer.unwrap_err().detail,
-                    retry_after_ms=STORE_RETRY_AFTER_MS,
+                    retry_after_ms=self._store.retry_after_ms,
                 )
             )
         entries = answer.unwrap().entries
