--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 DEPLOYMENT ?= akwaboa
 SEEDS ?= 200
 
-.PHONY: setup format lint unit scenarios test demo fuzz bench bench-policy \
+.PHONY: setup format lint unit scenarios test demo fuzz fuzz-jobs bench bench-policy \
 	bench-scale capacity
 
 setup: $(VENV)/.ready
@@ -52,6 +52,9 @@
 fuzz: setup
 	$(BIN)/python -m mulberryloom_standins.fuzz --examples $(SEEDS)
 
+fuzz-jobs: setup
+	$(BIN)/python -m mulberryloom_standins.jobs $(SEEDS)
+
 capacity: setup
 	$(BIN)/python -m mulberryloom_standins.capacity
 
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/__main__.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/__main__.py
@@ -4,6 +4,7 @@
 
 import defopt
 
+from .jobs import explain
 from .process import commands
 
 _COMMANDS = {
@@ -20,6 +21,7 @@
         'cancel': commands.cancel_requests,
     },
     'drain': commands.drain,
+    'logs': {'explain': explain.explain},
     'report': {'burn': commands.report_burn},
 }
 
--- /dev/null
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/__main__.py
@@ -0,0 +1,36 @@
+"""Runs the simulation of the job path with fresh seeds."""
+
+import logging
+import secrets
+
+import defopt
+import structlog
+
+from . import oracle
+from . import trials
+
+
+def run(count: int = 100, *, first: int | None = None) -> None:
+    """Run trials and print each seed that broke a promise.
+
+    :param count: number of seeds.
+    :param first: first seed; a random one by default.
+    """
+    level = logging.CRITICAL
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(level)
+    )
+    begin = secrets.randbelow(10**9) if first is None else first
+    failed = 0
+    for seed in range(begin, begin + count):
+        try:
+            trials.run_trial(seed)
+        except oracle.Violation as violation:
+            failed += 1
+            print(f'seed {seed}: {violation}')
+    print(f'{count} seeds from {begin}, {failed} failed')
+    raise SystemExit(failed > 0)
+
+
+if __name__ == '__main__':
+    defopt.run(run)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -33,6 +33,7 @@
         if page.name != 'drains.md'
     ),
     DOCS / 'callers.md',
+    DOCS / 'OPERATIONS.md',
     DOCS / 'operators' / 'drains.md',
 ]
 COMMAND_TIMEOUT_S = 10
