--- a/Makefile
+++ b/Makefile
@@ -11,7 +11,7 @@
 DEPLOYMENT ?= akwaboa
 SEEDS ?= 200
 
-.PHONY: setup format lint unit scenarios test demo fuzz fuzz-jobs bench bench-policy \
+.PHONY: setup format lint unit scenarios test demo fuzz fuzz-jobs bench-jobs-scale bench bench-policy \
 	bench-scale capacity
 
 setup: $(VENV)/.ready
@@ -64,5 +64,8 @@
 bench-policy: setup
 	$(BIN)/python -m mulberryloom_standins.bench_policy
 
+bench-jobs-scale: setup
+	$(BIN)/python -m mulberryloom_standins.jobs.bench_scale
+
 bench-scale: setup
 	$(BIN)/python -m mulberryloom_standins.bench_scale
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/entry.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/entry.py
@@ -524,9 +524,9 @@
             return
         record = seen.unwrap()
         if record.generation > self._record.generation:
+            # The new leader gets the time to be heard.
             self._follow(record)
-            if record.name in self._fresh_peers():
-                return
+            return
         me = election.LeaderRecord(self.name, str(self._me.address))
         result = await election.take_over(self.store, me, record)
         if result.is_err():
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/intake.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/intake.py
@@ -86,11 +86,28 @@
             error whose ``ran`` is ``no`` only if it can never be stored
             by this call.
         """
+        limit_ms = min(budget_ms, SUBMIT_BUDGET_MS)
+        try:
+            async with asyncio.timeout(limit_ms / _MS_PER_S):
+                return await self._store_job(job_id, spec, terms, limit_ms)
+        except TimeoutError:
+            detail = f'record not stored within {limit_ms} ms'
+            error = exceptions.Error.from_kind(_Kind.OUTCOME_UNKNOWN, detail)
+            return self._not_stored(job_id, Err(error), exceptions.Ran.UNKNOWN)
+
+    async def _store_job(
+        self,
+        job_id: str,
+        spec: jobs.JobSpec,
+        terms: jobs.Terms,
+        limit_ms: int,
+    ) -> Result[None, exceptions.Error]:
+        """Write a job's record, again while the outcome is open."""
         job = jobs.Job.from_spec(job_id, spec, terms, self._clock.wall_ms())
         key = keys.job_key(job_id)
         value = job_records.encode(job)
         request = store.Transact({key: 0}, {key: value})
-        give_up_ms = self._clock.now_ms() + min(budget_ms, SUBMIT_BUDGET_MS)
+        give_up_ms = self._clock.now_ms() + limit_ms
         ran = exceptions.Ran.NO
         while True:
             answer = await self._store.call(request)
@@ -218,6 +235,18 @@
 
         :return: the state that the job is in now.
         """
+        try:
+            async with asyncio.timeout(budget_ms / _MS_PER_S):
+                return await self._cancel(job_id, budget_ms)
+        except TimeoutError:
+            detail = f'not cancelled within {budget_ms} ms'
+            kind = _Kind.OUTCOME_UNKNOWN
+            return Err(exceptions.Error.from_kind(kind, detail))
+
+    async def _cancel(
+        self, job_id: str, budget_ms: int
+    ) -> Result[jobs.JobState, exceptions.Error]:
+        """Write the cancelling, again while its outcome is open."""
         give_up_ms = self._clock.now_ms() + budget_ms
         while True:
             result = await self._cancel_once(job_id)
--- a/packages/mulberryloom-entry/tests/test_job_intake.py
+++ b/packages/mulberryloom-entry/tests/test_job_intake.py
@@ -203,6 +203,30 @@
     assert error.kind is exceptions.ErrorKind.INTERNAL
 
 
+def test_store_that_never_answers_holds_no_caller():
+    direct = FaultyStore()
+
+    async def call(request):
+        await asyncio.sleep(5)
+        return _unavailable(exceptions.Ran.UNKNOWN)
+
+    direct.call = call
+    found, _, _ = _intake(direct)
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        begin = loop.time()
+        submitted = await found.submit(JOB_ID, SPEC, TERMS, 200)
+        cancelled = await found.cancel(JOB_ID, 200)
+        return submitted, cancelled, loop.time() - begin
+
+    submitted, cancelled, duration_s = asyncio.run(scenario())
+    kind = exceptions.ErrorKind.OUTCOME_UNKNOWN
+    assert submitted.unwrap_err().kind is kind
+    assert cancelled.unwrap_err().kind is kind
+    assert duration_s < 1
+
+
 def test_retry_after_grows_with_the_outage():
     clock = clocks.ManualClock(10_000)
     reached = gateway.StoreGateway(
