--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/process.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/process.py
@@ -9,6 +9,7 @@
 from mulberryloom_core import effects
 from mulberryloom_core import identity
 from mulberryloom_core import messages
+from mulberryloom_core.process import background
 from mulberryloom_core.process import tally
 import structlog
 
@@ -21,14 +22,6 @@
 LOST_LEADER_MS = 1_500
 #: Pause between looks into the store while the leader is not heard.
 DIRECTORY_PAUSE_MS = 2_000
-#: Sessions that fall silent are replaced before leases are in danger.
-SESSION_OPTIONS = session_options.SessionOptions(
-    ping_interval_ms=700,
-    silence_ms=1_800,
-    lost_after_ms=2_000,
-    reconnect_max_ms=600,
-    close_ms=300,
-)
 _MS_PER_S = 1_000
 
 _log = structlog.get_logger(__name__)
@@ -66,7 +59,7 @@
             identity.PeerId(identity.Role.AGENT, self.name, 1),
             secret,
             clock,
-            SESSION_OPTIONS,
+            session_options.LEASE_OPTIONS,
         )
         self.tally = tally.Tally()
         self._keeper = keepers.Keeper(options, clock.now_ms())
@@ -75,7 +68,7 @@
         self._leader_generation = 0
         self._heard_ms = clock.now_ms()
         self._wake = asyncio.Event()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._tasks = background.BackgroundTasks()
 
     @classmethod
     def from_parts(
@@ -103,16 +96,14 @@
         """Connect to the entries and begin all tasks."""
         for address in self._addresses:
             self._node.connect(address)
-        self._spawn(self._receive())
-        self._spawn(self._work())
-        self._spawn(self._look_for_entries())
+        self._tasks.spawn(self._receive())
+        self._tasks.spawn(self._work())
+        self._tasks.spawn(self._look_for_entries())
         _log.info('agent started', agent=self.name, seeds=len(self._addresses))
 
     async def close(self) -> None:
         """End all tasks and sessions; the worker's runs go on."""
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.cancel()
         await self._node.close()
         _log.info('agent stopped', agent=self.name)
 
@@ -133,16 +124,6 @@
         self.tally.gauge('known_entries', len(self._addresses))
         return '\n'.join([*self.tally.lines(), ''])
 
-    def _spawn(self, work: t.Coroutine[t.Any, t.Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._on_task_done)
-
-    def _on_task_done(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            _log.error('task failed', exc_info=task.exception())
-
     # Entries
 
     async def _receive(self) -> None:
@@ -210,7 +191,7 @@
         while True:
             now_ms = self._clock.now_ms()
             for call in self._keeper.due_calls(now_ms):
-                self._spawn(self._carry_out(call))
+                self._tasks.spawn(self._carry_out(call))
             self._report(now_ms)
             try:
                 async with asyncio.timeout(TICK_MS / _MS_PER_S):
--- a/packages/mulberryloom-core/src/mulberryloom_core/connection/options.py
+++ b/packages/mulberryloom-core/src/mulberryloom_core/connection/options.py
@@ -39,6 +39,17 @@
     close_ms: int = 2_000
 
 
+#: For sessions over which leases are kept: silent connections are replaced
+#: well within the time for which an agent renews without news.
+LEASE_OPTIONS = SessionOptions(
+    ping_interval_ms=700,
+    silence_ms=1_800,
+    lost_after_ms=2_000,
+    reconnect_max_ms=600,
+    close_ms=300,
+)
+
+
 @dataclasses.dataclass(slots=True)
 class NodeCounters:
     """Totals since the start of a node.
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/entry.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/entry.py
@@ -11,6 +11,7 @@
 from mulberryloom_core import exceptions
 from mulberryloom_core import identity
 from mulberryloom_core import messages
+from mulberryloom_core.process import background
 from mulberryloom_core.process import tally
 from mulberryloom_core.request import jobs
 from mulberryloom_core import store
@@ -28,32 +29,16 @@
 from . import intake
 from . import keys
 from . import leader as leaders
+from . import registration
 from . import store_codec
+from . import term as terms
 
 #: Pause between an entry's notices to its peers.
 NOTICE_MS = 350
-#: Pause between rounds of the leader's clockwork.
+#: Pause between looks at whether anybody leads.
 TICK_MS = 100
 #: How long another entry may take to answer a question about a job.
 PEER_TIMEOUT_MS = 400
-#: Pause between looks at what changed in the store, beside notifications.
-RECORD_WATCH_PAUSE_MS = 2_000
-#: Life of an entry's registration without renewal, and its renewal.
-REGISTRATION_TTL_MS = 15_000
-REGISTRATION_RENEW_MS = 5_000
-#: Pause before a write to a store that did not answer is tried again.
-WRITE_RETRY_PAUSE_MS = 100
-#: How old a confirmation of the leadership may be before it is renewed.
-CONFIRM_MS = 900
-#: Sessions that fall silent are replaced soon, since agents keep leases
-#: alive only while they hear from the leader.
-SESSION_OPTIONS = session_options.SessionOptions(
-    ping_interval_ms=700,
-    silence_ms=1_800,
-    lost_after_ms=2_000,
-    reconnect_max_ms=600,
-    close_ms=300,
-)
 _MS_PER_S = 1_000
 
 _log = structlog.get_logger(__name__)
@@ -107,7 +92,7 @@
             identity.PeerId(identity.Role.ENTRY, self.name, 1),
             me.secret,
             clock,
-            SESSION_OPTIONS,
+            session_options.LEASE_OPTIONS,
         )
         self._calls = calls.PeerCalls(self._node)
         self.store = gateway.StoreGateway(
@@ -123,10 +108,11 @@
         self._addresses[me.address] = None
         self._record = election.LeaderRecord()
         self._heard_leader_ms = clock.now_ms()
-        self._leader: leaders.Leader | None = None
-        self._wake = asyncio.Event()
-        self._writes_due = asyncio.Event()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._term: terms.Term | None = None
+        self._registration = registration.Registration(
+            self.store, self.name, me.address, self._on_address
+        )
+        self._tasks = background.BackgroundTasks()
         self._is_stopping = False
         self._is_fetching = False
 
@@ -158,7 +144,7 @@
     @property
     def is_leading(self) -> bool:
         """Whether this entry believes to lead."""
-        return self._leader is not None
+        return self._term is not None
 
     @property
     def is_ready(self) -> bool:
@@ -178,8 +164,8 @@
         self.tally.gauge('catalogue_version', self._follower.version)
         self.tally.gauge('known_entries', len(self._fresh_peers()) + 1)
         self.tally.gauge('agent_sessions', len(self._agent_names))
-        if self._leader is not None:
-            self._leader.update_gauges()
+        if self._term is not None:
+            self._term.leader.update_gauges()
         return '\n'.join([*self.tally.lines(), ''])
 
     # Life
@@ -194,9 +180,9 @@
             self._follower.run(),
             self._send_notices(),
             self._watch_leader(),
-            self._register(),
+            self._registration.run(),
         ):
-            self._spawn(work)
+            self._tasks.spawn(work)
         _log.info('entry started', entry=self.name, seeds=len(self._me.seeds))
 
     def begin_stop(self) -> None:
@@ -205,32 +191,26 @@
             return
         self._is_stopping = True
         _log.info('entry stopping', entry=self.name, leads=self.is_leading)
-        self._spawn(self._resign())
+        self._tasks.spawn(self._resign())
 
     async def close(self) -> None:
         """End all tasks and sessions."""
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.cancel()
         await self._node.close()
         _log.info('entry stopped', entry=self.name)
 
-    def _spawn(self, work: t.Coroutine[t.Any, t.Any, None]) -> None:
-        task = asyncio.get_running_loop().create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._on_task_done)
-
-    def _on_task_done(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            _log.error('task failed', exc_info=task.exception())
-
     # Peers
 
     def _connect(self, address: identity.Address) -> None:
         if address != self._me.address:
             self._node.connect(address)
 
+    def _on_address(self, address: identity.Address) -> None:
+        """Connect to an entry that was not known."""
+        if address not in self._addresses:
+            self._addresses[address] = None
+            self._connect(address)
+
     async def _receive(self) -> None:
         while True:
             event = await self._node.receive()
@@ -252,8 +232,8 @@
     def _on_connected(self, peer: identity.PeerId) -> None:
         if peer.role is identity.Role.AGENT:
             self._agent_names.add(peer.name)
-            if self._leader is not None:
-                self._leader.on_session(peer.name)
+            if self._term is not None:
+                self._term.leader.on_session(peer.name)
         self._node.send(effects.Send(peer.role, peer.name, self._notice()))
 
     def _on_message(self, sender: str, message: messages.Message) -> None:
@@ -263,7 +243,7 @@
             case messages.EntryNotice():
                 self._on_notice(sender, message)
             case messages.EntryCall():
-                self._spawn(self._answer(sender, message))
+                self._tasks.spawn(self._answer(sender, message))
             case messages.EntryReply():
                 self._calls.on_reply(message)
             case _:
@@ -274,20 +254,17 @@
                 )
 
     def _on_report(self, sender: str, report: messages.WorkerReport) -> None:
-        if self._leader is None:
+        if self._term is None:
             return
         now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
-        self._leader.on_report(sender, report, now_ms, wall_ms)
-        self._wake.set()
+        self._term.leader.on_report(sender, report, now_ms, wall_ms)
+        self._term.wake()
 
     def _on_notice(self, sender: str, notice: messages.EntryNotice) -> None:
         now_ms = self._clock.now_ms()
         self._peer_by_name[sender] = _Peer(notice, now_ms)
         for text in notice.entries:
-            address = identity.Address.from_text(text)
-            if address not in self._addresses:
-                self._addresses[address] = None
-                self._connect(address)
+            self._on_address(identity.Address.from_text(text))
         if notice.leader_generation > self._record.generation:
             self._follow(
                 election.LeaderRecord(
@@ -313,13 +290,13 @@
         )
         self._record = record
         self._heard_leader_ms = self._clock.now_ms()
-        if self._leader is not None and record.name != self.name:
-            self._step_down('another entry leads')
+        if self._term is not None and record.name != self.name:
+            self.end_term('another entry leads')
 
     def _fetch_catalogue(self, peer: str) -> None:
         if not self._is_fetching:
             self._is_fetching = True
-            self._spawn(self._fetch_catalogue_from(peer))
+            self._tasks.spawn(self._fetch_catalogue_from(peer))
 
     async def _fetch_catalogue_from(self, peer: str) -> None:
         try:
@@ -351,7 +328,7 @@
             self._record.name,
             self._record.address,
             self._record.generation,
-            self._leader is not None,
+            self._term is not None,
             self._is_stopping,
             self._follower.version,
             [str(address) for address in self._addresses],
@@ -393,15 +370,16 @@
                 revision = int(call.argument)
                 job_id = orjson.loads(call.body)['id']
                 key = keys.job_key(job_id)
-                self._adopt([store.Entry(key, call.body, revision)])
+                if self._term is not None:
+                    self._term.adopt([store.Entry(key, call.body, revision)])
                 return Ok(b'')
             case calls.CallKind.JOB_STATE:
                 state = await self.job_state(call.argument, is_asked=True)
                 return Ok(state.value.encode() if state else b'')
             case calls.CallKind.PENDING_COUNT:
-                if self._leader is None:
+                if self._term is None:
                     return _not_leading()
-                count = self._leader.pending_count(call.argument)
+                count = self._term.leader.pending_count(call.argument)
                 return Ok(str(count).encode())
             case calls.CallKind.CATALOGUE:
                 return Ok(self._follower.document)
@@ -421,8 +399,8 @@
 
     def notify_changed(self, entry: store.Entry) -> None:
         """Tell the leader of a record that was written."""
-        if self._leader is not None:
-            self._adopt([entry])
+        if self._term is not None:
+            self._term.adopt([entry])
         elif self._record.name in self._peer_by_name:
             self._calls.tell(
                 self._record.name,
@@ -439,8 +417,8 @@
         :param is_asked: whether another entry asks, so that the question
             is not passed on.
         """
-        if self._leader is not None:
-            return self._leader.job_state(job_id)
+        if self._term is not None:
+            return self._term.leader.job_state(job_id)
         if is_asked or self._record.name not in self._peer_by_name:
             return None
         answer = await self._calls.ask(
@@ -455,8 +433,8 @@
 
     async def pending_count(self, queue: str) -> int | None:
         """Return the leader's count; ``None`` when it is not reached."""
-        if self._leader is not None:
-            return self._leader.pending_count(queue)
+        if self._term is not None:
+            return self._term.leader.pending_count(queue)
         if self._record.name not in self._peer_by_name:
             return None
         answer = await self._calls.ask(
@@ -467,18 +445,10 @@
         )
         return None if answer.is_err() else int(answer.unwrap())
 
-    def _adopt(self, entries: list[store.Entry]) -> None:
-        if self._leader is None:
-            return
-        self._leader.adopt(
-            entries, self._clock.now_ms(), self._clock.wall_ms()
-        )
-        self._wake.set()
-
     def _on_catalogue(self, found: catalogues.Catalogue) -> None:
-        if self._leader is not None:
-            self._leader.catalogue = found
-            self._wake.set()
+        if self._term is not None:
+            self._term.leader.catalogue = found
+            self._term.wake()
         self._broadcast()
 
     # Election
@@ -490,7 +460,7 @@
             self._follow(found.unwrap())
         while True:
             await asyncio.sleep(TICK_MS / _MS_PER_S)
-            if self._leader is not None or self._is_stopping:
+            if self._term is not None or self._is_stopping:
                 continue
             silent_ms = self._clock.now_ms() - self._heard_leader_ms
             if silent_ms >= self._patience_ms():
@@ -549,7 +519,8 @@
         leader.catalogue = self.catalogue
         listed, revision = entries
         leader.adopt(listed, self._clock.now_ms(), self._clock.wall_ms())
-        self._leader = leader
+        term = terms.Term(leader, self, self.store, self._clock, revision)
+        self._term = term
         _log.info(
             'leading',
             generation=generation,
@@ -557,10 +528,7 @@
             after_ms=self._clock.now_ms() - now_ms,
         )
         self._broadcast(with_agents=True)
-        self._spawn(self._run_clockwork(leader))
-        self._spawn(self._write_records(leader))
-        self._spawn(self._watch_records(leader, revision))
-        self._spawn(self._confirm(leader))
+        term.start(self._tasks)
 
     async def _read_records(self) -> tuple[list[store.Entry], int] | None:
         for _ in range(3):
@@ -568,183 +536,53 @@
             if answer.is_ok():
                 reply = answer.unwrap()
                 return reply.entries, reply.revision
-            await asyncio.sleep(WRITE_RETRY_PAUSE_MS / _MS_PER_S)
+            await asyncio.sleep(TICK_MS / _MS_PER_S)
         return None
 
-    def _step_down(self, reason: str) -> None:
-        leader = self._leader
-        if leader is None:
-            return
-        _log.warning(
-            'leadership ended', generation=leader.generation, reason=reason
-        )
-        leader.is_deposed = True
-        self._leader = None
-        self._heard_leader_ms = self._clock.now_ms()
-        self._wake.set()
-        self._writes_due.set()
-
     async def _resign(self) -> None:
-        leader = self._leader
-        if leader is None:
+        if self._term is None:
             return
-        self._step_down('process is stopping')
+        generation = self._term.leader.generation
+        self.end_term('process is stopping')
         record = election.LeaderRecord(
-            self.name, str(self._me.address), leader.generation
+            self.name, str(self._me.address), generation
         )
         is_free = await election.resign(self.store, record)
-        _log.info('resigned', generation=leader.generation, is_free=is_free)
+        _log.info('resigned', generation=generation, is_free=is_free)
         notice = dataclasses.replace(self._notice(), is_leading=True)
         for name in self._peer_by_name:
             self._send_entry(name, notice)
 
-    # The leader's tasks
+    # The owner's part in a term
 
-    async def _run_clockwork(self, leader: leaders.Leader) -> None:
-        """Plan and send orders whenever something has changed."""
-        while not leader.is_deposed:
-            now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
-            leader.tick(now_ms, wall_ms)
-            try:
-                leader.plan(now_ms, wall_ms)
-            except Exception:
-                # What runs is still looked after when planning fails.
-                _log.exception('plan failed')
-            self._writes_due.set()
-            for node, orders in leader.take_orders(now_ms):
-                role = identity.Role.AGENT
-                self._node.send(effects.Send(role, node, orders))
-            try:
-                async with asyncio.timeout(TICK_MS / _MS_PER_S):
-                    await self._wake.wait()
-            except TimeoutError:
-                pass
-            self._wake.clear()
-
-    async def _write_records(self, leader: leaders.Leader) -> None:
-        """Write one batch after the other, each until it is settled."""
-        while not leader.is_deposed:
-            batch = leader.next_batch()
-            if batch is None:
-                self._writes_due.clear()
-                await self._writes_due.wait()
-                continue
-            started_ms = self._clock.now_ms()
-            answer = await self.store.call(batch.request)
-            while answer.is_err() and not leader.is_deposed:
-                await asyncio.sleep(WRITE_RETRY_PAUSE_MS / _MS_PER_S)
-                started_ms = self._clock.now_ms()
-                answer = await self.store.call(batch.request)
-            if answer.is_err():
-                return
-            leader.settle(
-                batch,
-                t.cast('store.Written | store.Conflict', answer.unwrap()),
-                self._clock.now_ms(),
-                self._clock.wall_ms(),
-            )
-            if leader.is_deposed:
-                if self._leader is leader:
-                    self._step_down('the store names another leader')
-                return
-            leader.confirmed_ms = started_ms
-            self._wake.set()
-
-    async def _watch_records(
-        self, leader: leaders.Leader, revision: int
-    ) -> None:
-        """Find records that no entry has told this leader of."""
-        while not leader.is_deposed:
-            await asyncio.sleep(RECORD_WATCH_PAUSE_MS / _MS_PER_S)
-            request = store.WatchPrefix(
-                keys.JOBS, revision, RECORD_WATCH_PAUSE_MS
-            )
-            answer = await self.store.call(request)
-            if answer.is_err():
-                answer = await self.store.call(store.ListKeys(keys.JOBS))
-            if answer.is_err():
-                continue
-            reply = answer.unwrap()
-            revision = reply.revision
-            if self._leader is leader:
-                self._adopt([e for e in reply.entries if e.value])
-
-    async def _confirm(self, leader: leaders.Leader) -> None:
-        """Keep the leadership confirmed while there is nothing to write."""
-        while not leader.is_deposed:
-            await asyncio.sleep(CONFIRM_MS / _MS_PER_S)
-            now_ms = self._clock.now_ms()
-            if now_ms - leader.confirmed_ms < CONFIRM_MS:
-                continue
-            found = await election.read_leader(self.store)
-            if found.is_ok():
-                if found.unwrap().generation == leader.generation:
-                    leader.confirmed_ms = now_ms
-                elif self._leader is leader:
-                    self._step_down('the store names another leader')
-            elif self._is_confirmed_by_peers(leader):
-                leader.confirmed_ms = now_ms - 3 * NOTICE_MS
-
-    def _is_confirmed_by_peers(self, leader: leaders.Leader) -> bool:
+    def send_orders(self, node: str, orders: messages.WorkerOrders) -> None:
+        """Send orders to an agent."""
+        self._node.send(effects.Send(identity.Role.AGENT, node, orders))
+
+    def is_followed_by_all(self, generation: int) -> bool:
         """Whether every known entry follows this leader right now."""
         known = {a for a in self._addresses if a != self._me.address}
+        fresh = self._fresh_peers()
         following = {
             identity.Address.from_text(peer.notice.address)
             for name, peer in self._peer_by_name.items()
-            if name in self._fresh_peers()
-            and peer.notice.leader_generation == leader.generation
+            if name in fresh and peer.notice.leader_generation == generation
         }
         return known <= following
 
-    # Registration
-
-    async def _register(self) -> None:
-        """Keep this entry's address in the store, and learn the others'."""
-        lease_id = 0
-        while True:
-            if not lease_id:
-                lease_id = await self._grant_registration()
-                await self._learn_entries()
-            else:
-                renewed = await self.store.call_direct(
-                    store.RenewLease(lease_id)
-                )
-                if renewed.is_ok() and not renewed.unwrap().ttl_ms:
-                    lease_id = 0
-                    continue
-            pause_ms = REGISTRATION_RENEW_MS if lease_id else NOTICE_MS
-            await asyncio.sleep(pause_ms / _MS_PER_S)
-
-    async def _grant_registration(self) -> int:
-        """Write this entry's key; return its lease, ``0`` on failure."""
-        granted = await self.store.call_direct(
-            store.GrantLease(REGISTRATION_TTL_MS)
-        )
-        if granted.is_err():
-            return 0
-        lease_id = granted.unwrap().lease_id
-        key = f'{keys.ENTRIES}{self.name}'
-        value = str(self._me.address).encode()
-        written = await self.store.call_direct(
-            store.Transact({}, {key: value}, (), lease_id)
-        )
-        return lease_id if written.is_ok() else 0
-
-    async def _learn_entries(self) -> None:
-        found = await self.store.call(store.ListKeys(keys.ENTRIES))
-        if found.is_err():
+    def end_term(self, reason: str) -> None:
+        """Stop leading; another entry may by now."""
+        term = self._term
+        if term is None:
             return
-        for entry in found.unwrap().entries:
-            try:
-                address = identity.Address.from_text(entry.value.decode())
-            except ValueError as problem:
-                _log.warning(
-                    'entry record skipped', key=entry.key, reason=str(problem)
-                )
-                continue
-            if address not in self._addresses:
-                self._addresses[address] = None
-                self._connect(address)
+        _log.warning(
+            'leadership ended',
+            generation=term.leader.generation,
+            reason=reason,
+        )
+        self._term = None
+        term.end()
+        self._heard_leader_ms = self._clock.now_ms()
 
 
 def _not_leading() -> Err[exceptions.Error]:
