--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -570,7 +570,7 @@
                 )
             ),
         )
-        if run.is_recorded and not run.sent_sequence and not run.is_inherited:
+        if run.is_recorded and not run.sent_ms and not run.is_inherited:
             self._void(run, reason)
             return
         link = self._link_by_key.get(run.home)
--- /dev/null
+++ b/packages/mulberryloom-entry/tests/test_job_leader.py
@@ -0,0 +1,164 @@
+"""The leader's core, fed by hand."""
+
+from mulberryloom_core import messages
+from mulberryloom_core.request import job_records
+from mulberryloom_core.request import jobs
+from mulberryloom_core import store
+from mulberryloom_core.version import catalogue as catalogues
+from mulberryloom_entry.jobs import keys
+from mulberryloom_entry.jobs import leader as leaders
+
+JOB_ID = 'a' * 16
+TASK = f'{JOB_ID}.0.0.0'
+GENERATION = 5
+CATALOGUE = catalogues.Catalogue.from_parts(
+    1,
+    [catalogues.Queue('q', 'h', '/q/', 's')],
+    [catalogues.Service('s')],
+    [catalogues.Account('a')],
+)
+
+
+class Term:
+    """A leader with one agent and a store that always answers."""
+
+    def __init__(self):
+        self.now_ms = 10_000
+        self.revision = 100
+        options = leaders.LeaderOptions()
+        self.leader = leaders.Leader(GENERATION, options, 0)
+        self.leader.catalogue = CATALOGUE
+        self.orders = []
+
+    def report(self, *, running=(), sequence=0, node='vm.1', **fields):
+        found = {'is_listed': True, 'is_alive': True, **fields}
+        report = messages.WorkerReport(
+            'w',
+            1,
+            's',
+            'dc',
+            'r',
+            ['a', 'r'],
+            16_000,
+            16_000,
+            8,
+            False,
+            0,
+            GENERATION,
+            sequence,
+            self.now_ms,
+            found['is_listed'],
+            found['is_alive'],
+            [messages.RunningTask(TASK, run, '', 0) for run in running],
+            [],
+            [],
+        )
+        self.leader.on_report(node, report, self.now_ms, self.now_ms)
+
+    def submit(self, *, is_cancelled=False):
+        spec = jobs.JobSpec('x', (jobs.Step(1, 1_000),))
+        job = jobs.Job.from_spec(JOB_ID, spec, jobs.Terms('q', 's', 'a'), 0)
+        job.is_cancelled = is_cancelled
+        self.revision += 1
+        entry = store.Entry(
+            keys.job_key(JOB_ID), job_records.encode(job), self.revision
+        )
+        self.leader.adopt([entry], self.now_ms, self.now_ms)
+
+    def step(self):
+        """Plan, write and send what is due."""
+        self.now_ms += 50
+        leader = self.leader
+        leader.confirmed_ms = self.now_ms
+        leader.plan(self.now_ms, self.now_ms)
+        batch = leader.next_batch()
+        if batch is not None:
+            self.revision += 1
+            reply = store.Written(self.revision)
+            leader.settle(batch, reply, self.now_ms, self.now_ms)
+        self.orders = [o for _, o in leader.take_orders(self.now_ms)]
+
+    def started(self):
+        return [s.run_number for o in self.orders for s in o.starts]
+
+    def stopped(self):
+        return [s.run_number for o in self.orders for s in o.stops]
+
+
+def _running_term():
+    term = Term()
+    term.report()
+    term.step()
+    term.submit()
+    term.step()
+    assert term.started() == [1]
+    return term
+
+
+def test_start_is_sent_only_after_its_record_is_stored():
+    term = Term()
+    term.report()
+    term.step()
+    term.submit()
+    leader = term.leader
+    leader.plan(term.now_ms + 50, term.now_ms)
+    sent = [
+        s for _, o in leader.take_orders(term.now_ms + 60) for s in o.starts
+    ]
+    assert sent == []
+    term.step()
+    assert term.started() == [1]
+
+
+def test_orders_are_sent_again_in_a_new_session():
+    term = _running_term()
+    term.leader.on_session('vm.1')
+    term.step()
+    assert term.started() == [1]
+
+
+def test_sent_run_is_stopped_and_not_forgotten_after_a_new_session():
+    term = _running_term()
+    term.leader.on_session('vm.1')
+    term.submit(is_cancelled=True)
+    term.step()
+    assert term.stopped() == [1]
+    assert term.started() == []
+
+
+def test_run_that_the_worker_does_not_have_starts_under_another_number():
+    term = _running_term()
+    sequence = term.orders[0].sequence
+    term.report(sequence=sequence - 1)
+    term.step()
+    assert term.started() == []
+    term.report(sequence=sequence)
+    term.step()
+    assert term.started() == [2]
+
+
+def test_lapsed_lease_gives_up_only_what_the_agent_has_taken_in():
+    term = _running_term()
+    sequence = term.orders[0].sequence
+    term.report(sequence=sequence - 1, is_alive=False)
+    term.report(sequence=sequence - 1)
+    term.step()
+    assert term.started() == []
+    term.report(sequence=sequence, is_alive=False)
+    term.report(sequence=sequence)
+    term.step()
+    assert term.started() == [2]
+
+
+def test_deposed_leader_learns_it_from_its_next_write():
+    term = Term()
+    term.report()
+    term.step()
+    term.submit()
+    term.leader.plan(term.now_ms + 50, term.now_ms)
+    batch = term.leader.next_batch()
+    other = store.Entry(keys.LEADER, b'{}', GENERATION + 1)
+    conflict = store.Conflict({keys.LEADER: other})
+    term.leader.settle(batch, conflict, term.now_ms, term.now_ms)
+    assert term.leader.is_deposed
+    assert all(not o.starts for _, o in term.leader.take_orders(term.now_ms))
