--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/keeper.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/keeper.py
@@ -295,12 +295,17 @@
             )
 
     def _settle_listed(self) -> None:
-        """Forget starts and stops that the lists answer."""
+        """Forget starts that the lists answer.
+
+        A list that was asked for before now may still arrive and lack
+        them, since answers overtake each other.
+        """
         listed = _run_keys(self._running)
         ended = {(end.task, end.run_number) for end in self._ended}
         for key in list(self._starting_by_key):
             if key in listed or key in ended:
                 del self._starting_by_key[key]
+                self._settled_by_key[key] = self._last_hold_id + 1
 
     def on_started(
         self, call: runner.StartCall, reply: runner.CallReply, now_ms: int
--- /dev/null
+++ b/packages/mulberryloom-agent/tests/test_job_keeper.py
@@ -0,0 +1,193 @@
+"""The agent's core of the job path, fed by hand."""
+
+from mulberryloom_agent.jobs import keeper as keepers
+from mulberryloom_agent.jobs import runner
+from mulberryloom_core import messages
+
+GENERATION = 5
+START = messages.StartRun('job.0.0.0', 1, 'payload', '')
+DONE = runner.CallStatus.DONE
+
+
+def _info(boot=1, sequence=1, **fields):
+    found = {'is_draining': False, 'remaining_ms': 0, **fields}
+    return runner.WorkerInfo(
+        'w',
+        boot,
+        sequence,
+        's',
+        '127.0.0.1:1',
+        'dc',
+        'r',
+        ('a', 'r'),
+        16_000,
+        16_000,
+        8,
+        found['is_draining'],
+        found['remaining_ms'],
+    )
+
+
+def _held(now_ms, running=(), ended=(), boot=1):
+    return runner.HoldReply(
+        DONE,
+        now_ms,
+        boot,
+        tuple(messages.RunningTask(START.task, r, '', 0) for r in running),
+        tuple(ended),
+    )
+
+
+class Agent:
+    """A keeper that follows a leader and has read its worker's lists."""
+
+    def __init__(self):
+        self.now_ms = 100_000
+        options = keepers.KeeperOptions()
+        self.keeper = keepers.Keeper(options, self.now_ms)
+        self.keeper.on_check_in(_info(), self.now_ms)
+        self.keeper.follow(GENERATION, self.now_ms)
+        (hold,) = self.calls()
+        self.keeper.on_held(hold, _held(self.now_ms), self.now_ms)
+        self.sequence = 0
+
+    def calls(self, kind=runner.HoldCall):
+        found = self.keeper.due_calls(self.now_ms)
+        return [call for call in found if isinstance(call, kind)]
+
+    def order(self, *, starts=(), stops=(), echo_ms=None, observed=0):
+        self.sequence += 1
+        echo_ms = self.now_ms if echo_ms is None else echo_ms
+        orders = messages.WorkerOrders(
+            GENERATION,
+            self.sequence,
+            'w',
+            1,
+            echo_ms,
+            observed,
+            list(starts),
+            list(stops),
+        )
+        self.keeper.on_orders(orders, self.now_ms)
+
+    def has(self, run):
+        """Whether a report says anything of a run."""
+        self.keeper.on_check_in(
+            _info(sequence=self.now_ms, remaining_ms=self.now_ms), self.now_ms
+        )
+        self.now_ms += 1_000
+        report = self.keeper.take_report(self.now_ms)
+        items = [*report.running, *report.ended, *report.starting]
+        return any(item.run_number == run for item in items)
+
+
+def test_lists_that_overtake_each_other_lose_no_run():
+    agent = Agent()
+    (early,) = agent.calls()
+    agent.order(starts=[START])
+    (start,) = agent.calls(runner.StartCall)
+    agent.now_ms += 5
+    agent.keeper.on_held(early, _held(agent.now_ms, [1]), agent.now_ms)
+    late = agent.calls()[0]
+    assert late.call_id > early.call_id
+    reply = runner.CallReply(DONE, agent.now_ms)
+    agent.keeper.on_started(start, reply, agent.now_ms)
+    agent.keeper.on_held(late, _held(agent.now_ms, [1]), agent.now_ms)
+    assert agent.has(1)
+
+
+def test_list_that_was_asked_for_before_a_run_was_seen_does_not_miss_it():
+    agent = Agent()
+    agent.keeper.on_orders(
+        messages.WorkerOrders(
+            GENERATION, 1, 'w', 1, agent.now_ms, 1, [START], []
+        ),
+        agent.now_ms,
+    )
+    found = agent.keeper.due_calls(agent.now_ms)
+    first = next(c for c in found if isinstance(c, runner.HoldCall))
+    start = next(c for c in found if isinstance(c, runner.StartCall))
+    reply = runner.CallReply(DONE, agent.now_ms)
+    agent.keeper.on_started(start, reply, agent.now_ms)
+    (second,) = agent.calls()
+    agent.keeper.on_held(second, _held(agent.now_ms, [1]), agent.now_ms)
+    agent.keeper.on_held(first, _held(agent.now_ms), agent.now_ms)
+    assert agent.has(1)
+
+
+def test_run_seen_before_its_answer_outlives_an_overtaken_list():
+    agent = Agent()
+    (first,) = agent.calls()
+    agent.order(starts=[START])
+    agent.calls(runner.StartCall)
+    other = messages.StartRun('job.0.0.1', 1, 'payload', '')
+    agent.order(starts=[other])
+    (call,) = agent.calls(runner.StartCall)
+    reply = runner.CallReply(DONE, agent.now_ms)
+    agent.keeper.on_started(call, reply, agent.now_ms)
+    (second,) = agent.calls()
+    agent.keeper.on_held(first, _held(agent.now_ms, [1]), agent.now_ms)
+    agent.keeper.on_held(second, _held(agent.now_ms), agent.now_ms)
+    assert agent.has(1)
+
+
+def test_start_that_was_held_up_is_refused():
+    agent = Agent()
+    agent.order(starts=[START], echo_ms=agent.now_ms - 3_000)
+    assert agent.calls(runner.StartCall) == []
+    assert not agent.has(1)
+
+
+def test_start_without_an_answer_is_stopped_when_its_time_is_over():
+    agent = Agent()
+    agent.order(starts=[START])
+    (start,) = agent.calls(runner.StartCall)
+    unknown = runner.CallReply(runner.CallStatus.UNKNOWN)
+    agent.keeper.on_started(start, unknown, agent.now_ms)
+    agent.now_ms += 3_000
+    (stop,) = agent.calls(runner.StopCall)
+    assert stop.run == messages.RunRef(START.task, 1)
+    assert agent.has(1)
+
+
+def test_draining_worker_gets_no_start():
+    agent = Agent()
+    agent.keeper.on_check_in(_info(sequence=2, is_draining=True), agent.now_ms)
+    agent.order(starts=[START])
+    assert agent.calls(runner.StartCall) == []
+
+
+def test_late_check_in_changes_nothing():
+    agent = Agent()
+    agent.keeper.on_check_in(_info(boot=2, sequence=1), agent.now_ms)
+    agent.keeper.on_check_in(_info(boot=1, sequence=99), agent.now_ms)
+    assert agent.keeper.info.boot == 2
+
+
+def test_lease_is_renewed_only_while_the_leader_is_vouched_for():
+    agent = Agent()
+    agent.order()
+    (hold,) = agent.calls()
+    assert hold.deadline_ms > 0
+    agent.now_ms += 3_000
+    agent.keeper.on_held(hold, _held(agent.now_ms), agent.now_ms)
+    (hold,) = agent.calls()
+    assert hold.deadline_ms == 0
+
+
+def test_another_life_is_not_told_what_was_acknowledged():
+    agent = Agent()
+    agent.order(observed=7)
+    (hold,) = agent.calls()
+    assert hold.observed == 7
+    agent.keeper.on_held(hold, _held(agent.now_ms, boot=2), agent.now_ms)
+    agent.now_ms += 500
+    (hold,) = agent.calls()
+    assert hold.observed == 0
+
+
+def test_older_leader_is_ignored():
+    agent = Agent()
+    agent.keeper.follow(GENERATION + 1, agent.now_ms)
+    agent.order(starts=[START])
+    assert agent.calls(runner.StartCall) == []
