Call heartbeats heartbeats

The platform's pages call them check-ins; the field's term is used outside the wire. Renamed only; tests of the adapter, keeper and simulation passed.

--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/keeper.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/keeper.py
@@ -1,6 +1,6 @@
 """What an agent knows of its worker, and the calls that are due.
 
-Sans-I/O: the shell passes in orders, check-ins and answers, and carries
+Sans-I/O: the shell passes in orders, heartbeats and answers, and carries
 out the calls that come back. The worker's lists are the truth about what
 runs; the keeper only adds what is under way.
 """
@@ -102,7 +102,7 @@
 
     # Inputs
 
-    def on_check_in(self, info: runner.WorkerInfo, now_ms: int) -> None:
+    def on_heartbeat(self, info: runner.WorkerInfo, now_ms: int) -> None:
         """Take in what the worker says of itself."""
         known = self.info
         if known is not None and not self._is_newer(info, known):
@@ -124,7 +124,7 @@
 
     @staticmethod
     def _is_newer(info: runner.WorkerInfo, known: runner.WorkerInfo) -> bool:
-        """Whether a check-in is later than the last; some arrive late."""
+        """Whether a heartbeat is later than the last; some arrive late."""
         if info.boot != known.boot:
             return info.boot > known.boot
         if info.worker != known.worker:
--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/process.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/process.py
@@ -107,9 +107,9 @@
         await self._node.close()
         _log.info('agent stopped', agent=self.name)
 
-    def on_check_in(self, info: runner.WorkerInfo) -> None:
-        """Take in a check-in of the worker."""
-        self._keeper.on_check_in(info, self._clock.now_ms())
+    def on_heartbeat(self, info: runner.WorkerInfo) -> None:
+        """Take in a heartbeat of the worker."""
+        self._keeper.on_heartbeat(info, self._clock.now_ms())
         self._wake.set()
 
     def on_leave(self, worker: str) -> None:
--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/runner.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/runner.py
@@ -9,10 +9,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkerInfo:
-    """What a worker says of itself when it checks in.
+    """What a worker says of itself in a heartbeat.
 
     :param boot: start of this life, Unix milliseconds.
-    :param sequence: rises with every check-in of one life.
+    :param sequence: rises with every heartbeat of one life.
     :param remaining_ms: shortest time that a draining worker stays.
     """
 
--- a/packages/mulberryloom-agent/tests/test_job_keeper.py
+++ b/packages/mulberryloom-agent/tests/test_job_keeper.py
@@ -45,7 +45,7 @@
         self.now_ms = 100_000
         options = keepers.KeeperOptions()
         self.keeper = keepers.Keeper(options, self.now_ms)
-        self.keeper.on_check_in(_info(), self.now_ms)
+        self.keeper.on_heartbeat(_info(), self.now_ms)
         self.keeper.follow(GENERATION, self.now_ms)
         (hold,) = self.calls()
         self.keeper.on_held(hold, _held(self.now_ms), self.now_ms)
@@ -72,7 +72,7 @@
 
     def has(self, run):
         """Whether a report says anything of a run."""
-        self.keeper.on_check_in(
+        self.keeper.on_heartbeat(
             _info(sequence=self.now_ms, remaining_ms=self.now_ms), self.now_ms
         )
         self.now_ms += 1_000
@@ -152,15 +152,17 @@
 
 def test_draining_worker_gets_no_start():
     agent = Agent()
-    agent.keeper.on_check_in(_info(sequence=2, is_draining=True), agent.now_ms)
+    agent.keeper.on_heartbeat(
+        _info(sequence=2, is_draining=True), agent.now_ms
+    )
     agent.order(starts=[START])
     assert agent.calls(runner.StartCall) == []
 
 
-def test_late_check_in_changes_nothing():
+def test_late_heartbeat_changes_nothing():
     agent = Agent()
-    agent.keeper.on_check_in(_info(boot=2, sequence=1), agent.now_ms)
-    agent.keeper.on_check_in(_info(boot=1, sequence=99), agent.now_ms)
+    agent.keeper.on_heartbeat(_info(boot=2, sequence=1), agent.now_ms)
+    agent.keeper.on_heartbeat(_info(boot=1, sequence=99), agent.now_ms)
     assert agent.keeper.info.boot == 2
 
 
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/worker.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/worker.py
@@ -87,7 +87,7 @@
         return now_ms + self._offset_ms
 
     def info(self) -> runner.WorkerInfo:
-        """Return the next check-in."""
+        """Return the next heartbeat."""
         self._sequence += 1
         return runner.WorkerInfo(
             self.worker,
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/world.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/world.py
@@ -58,7 +58,7 @@
     is_cut: bool = False
     is_frozen: bool = False
     is_worker_up: bool = True
-    check_in_ms: int = 0
+    heartbeat_ms: int = 0
     connected_boot: int = 0
     has_session: bool = True
     orders_due_ms: int = 0
@@ -219,7 +219,7 @@
         """Replace an agent process; its worker runs on."""
         agent.node = f'{agent.node.split(".")[0]}.{next(self._names)}'
         agent.keeper = keepers.Keeper(keepers.KeeperOptions(), self.now_ms)
-        agent.check_in_ms = self.now_ms + 400
+        agent.heartbeat_ms = self.now_ms + 400
         agent.leader = None
         self._tell_leader(agent, self.entry)
 
@@ -234,7 +234,7 @@
             self._work_of,
             self.random.randrange(100_000),
         )
-        agent.check_in_ms = self.now_ms + self.random.randrange(100, 1_000)
+        agent.heartbeat_ms = self.now_ms + self.random.randrange(100, 1_000)
 
     def replace_worker(self, agent: _Agent) -> None:
         """Power a VM off and on; its next worker has another id."""
@@ -320,9 +320,9 @@
     def _step_agent(self, agent: _Agent) -> None:
         if agent.is_frozen:
             return
-        if agent.is_worker_up and self.now_ms >= agent.check_in_ms:
-            agent.check_in_ms = self.now_ms + 1_500
-            agent.keeper.on_check_in(agent.worker.info(), self.now_ms)
+        if agent.is_worker_up and self.now_ms >= agent.heartbeat_ms:
+            agent.heartbeat_ms = self.now_ms + 1_500
+            agent.keeper.on_heartbeat(agent.worker.info(), self.now_ms)
         for call in agent.keeper.due_calls(self.now_ms):
             self._call_worker(agent, call)
         if agent.leader is None:
