Tell entries the epochs that a former owner planned under

Cause: when only one of two entries saw the other as lost, it claimed the other's accounts and planned under a higher epoch. Once it saw the other again it gave the accounts back, and with them told nobody of that epoch. The agents went on refusing the first owner (stale-epoch, some 50 times a second for the whole minute), and its accepted requests were never run. Change: an entry's digest also tells the epochs it has planned under and given up; the owner that hears of a higher one claims anew, and gathers reports for the usual time before it preempts. Ruled out: to claim anew on each stale-epoch refusal; it does not help while the store is down, since the refusal does not carry the epoch. Test: test_owner_passed_over_for_a_while_plans_above_its_stand_in; against the old code it fails as told_epochs is missing there, so that the scenario is the proof that it fails first.

--- a/packages/mulberryloom-entry/src/mulberryloom_entry/process/neighbours.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/process/neighbours.py
@@ -86,7 +86,7 @@
         digest = context.membership.digest(
             now,
             context.configuration.version,
-            context.shards.infos(),
+            context.shards.told_epochs(),
             pressures,
             is_draining,
         )
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/process/shards.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/process/shards.py
@@ -153,6 +153,20 @@
                 infos.append(messages.ShardInfo(account, epoch))
         return infos
 
+    def told_epochs(self) -> list[messages.ShardInfo]:
+        """Return the epochs that other entries have to know.
+
+        With those that this entry has planned under and has given up: the
+        agents refuse whoever plans under a lower one.
+        """
+        ceded = [
+            messages.ShardInfo(account, epoch)
+            for account, epoch in sorted(self._highest_by_account.items())
+            if epoch.entry == self._entry
+            and account not in self._shards_by_account
+        ]
+        return self.infos() + ceded
+
     def is_rebuilding(self, account: str, now_ms: int) -> bool:
         """Tell whether a new owner still gathers reports.
 
@@ -232,7 +246,8 @@
         now_ms: int,
         is_provisional: bool,
     ) -> None:
-        if shard.epoch is None:
+        if self.epoch_of(shard.account) is None:
+            # Another entry has planned since, or nobody has.
             shard.owned_since_ms = now_ms
         shard.epoch = epoch
         shard.is_provisional = is_provisional
--- a/packages/mulberryloom-entry/tests/test_shards.py
+++ b/packages/mulberryloom-entry/tests/test_shards.py
@@ -128,6 +128,24 @@
     assert not table.is_rebuilding('galway', shards.REBUILD_MS)
 
 
+def test_owner_passed_over_for_a_while_plans_above_its_stand_in():
+    """Only one side saw the other as lost, so only one claimed."""
+    first, second, fake = _make('entry-1'), _make('entry-2'), FakeStore()
+    both = ['entry-1', 'entry-2']
+    owner = {a: rendezvous.rank(a, both)[0] for a in ACCOUNTS}
+    account = next(a for a in ACCOUNTS if owner[a] == 'entry-1')
+    _run(first, fake, 0, 2_000, both)
+    _run(second, fake, 2_000, 3_000, ['entry-2'])
+    stand_in = second.epoch_of(account)
+    _run(second, fake, 3_000, 3_200, both)
+    assert account not in second.owned()
+    first.observe(second.told_epochs())
+    assert first.epoch_of(account) is None
+    _run(first, fake, 3_200, 4_400, both)
+    assert first.epoch_of(account) > stand_in
+    assert first.is_rebuilding(account, 4_400)
+
+
 def test_any_order_of_faults_keeps_owners_apart():
     rng = random.Random(7)
     fake = FakeStore()
