Keep an account's jobs while their owner claims it anew

Cause: when a higher epoch was heard of, the owner dropped the waiting jobs of the account as if another entry owned it. Second, the planner forgot jobs of an account that had to gather reports once more. Change: jobs are dropped only when another entry is first in line; accounts that are claimed anew are paused in the planner, not given up. Ruled out: to let the taking entries send everything again each second; it hides the loss, and doubles the traffic between entries. Test: test_jobs_wait_while_their_account_is_claimed_anew fails on the source before (no answer), passes now.

--- a/packages/mulberryloom-entry/src/mulberryloom_entry/process/dispatch.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/process/dispatch.py
@@ -216,16 +216,20 @@
         shards = self._context.shards
         owned = shards.owned()
         if owned == self._owned:
-            ready = self._ready(now)
-            self._planner.set_owned(ready)
+            self._planner.set_owned(self._ready(now), self._owned)
             return
         for account in owned - self._owned:
             self._takeover.begin(account, now)
         for account in self._owned - owned:
+            if shards.owner_of(account) == self._context.name:
+                # Its jobs wait here until the account is claimed anew: the
+                # entries that took them know no other owner.
+                owned.add(account)
+                continue
             self._takeover.stop(account)
             self._drop_account(account, now)
         self._owned = owned
-        self._planner.set_owned(self._ready(now))
+        self._planner.set_owned(self._ready(now), owned)
 
     def _ready(self, now: int) -> set[str]:
         shards = self._context.shards
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/process/shards.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/process/shards.py
@@ -173,7 +173,7 @@
         Until then nothing is planned that preempts.
         """
         shard = self._shards_by_account.get(account)
-        if shard is None or shard.epoch is None:
+        if shard is None or self.epoch_of(account) is None:
             return True
         return now_ms - shard.owned_since_ms < REBUILD_MS
 
--- a/packages/mulberryloom-entry/tests/test_owner_path.py
+++ b/packages/mulberryloom-entry/tests/test_owner_path.py
@@ -115,6 +115,21 @@
     assert len(region.runs()) == 1
 
 
+def test_jobs_wait_while_their_account_is_claimed_anew(make_region):
+    """A higher epoch is heard of, but this entry is still the owner."""
+    region = make_region(entries=2, agents=1)
+    region.run(4_000)
+    name = owner_of(region)
+    region.agents['w0'].refusals = [Kind.NO_CAPACITY] * 9
+    calls = [region.submit(name, method='count') for _ in range(3)]
+    shards = region.cores[name].context.shards
+    known = shards.epoch_of('accra')
+    higher = identity.Epoch(known.revision, known.sub + 7, 'entry-9')
+    shards.observe([messages.ShardInfo('accra', higher)])
+    region.run(20_000)
+    assert [region.answers[call].error for call in calls] == [None] * 3
+
+
 def test_accepted_request_survives_the_loss_of_its_entry(make_region):
     region = make_region(entries=2)
     owner = owner_of(region)
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/planner.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/planner.py
@@ -1,5 +1,7 @@
 """The planner: queues, placement and preemption of owned accounts."""
 
+import typing as t
+
 from mulberryloom_core import exceptions
 from mulberryloom_core import messages
 from mulberryloom_core.version import configuration as configurations
@@ -57,13 +59,17 @@
         self._env.configuration = configuration
         self._is_changed = True
 
-    def set_owned(self, accounts: set[str]) -> None:
+    def set_owned(
+        self, accounts: set[str], paused: t.Collection[str] = ()
+    ) -> None:
         """Set the accounts that this planner plans for.
 
         Waiting jobs of accounts that it owned before are dropped; their
         new owner is told of them elsewhere.
+
+        :param paused: accounts whose jobs are kept and not planned now.
         """
-        lost = self._env.owned - accounts
+        lost = self._env.owned - accounts - set(paused)
         self._env.owned = set(accounts)
         for record in list(self._env.records.records_by_id.values()):
             is_waiting = record.phase is not records.JobPhase.PLACED
