--- a/features/guarantees.feature
+++ b/features/guarantees.feature
@@ -29,7 +29,7 @@
     Then every request has ended
     And the records of the backend servers show no violation
 
-  @holds-3 @known-red
+  @holds-3
   Scenario Outline: Answers arrive whole though connections fall silent
     Given a fleet of 3 workers for "akwaboa" whose agents reach the entries over a relay
     When counter requests arrive at 40 per s with answers of 50000 bytes
--- a/packages/mulberryloom-agent/src/mulberryloom_agent/__main__.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/__main__.py
@@ -15,6 +15,7 @@
 from result import Err
 from result import Ok
 
+from .process import job_runner
 from .process import runner
 from .process import settings as settings_module
 
@@ -57,8 +58,22 @@
     return asyncio.run(_print_status(checked))
 
 
+class _Process(t.Protocol):
+    """What runs until it is asked to stop."""
+
+    async def run(self) -> None:
+        """Run until a requested stop has ended."""
+
+    def request_stop(self) -> None:
+        """Begin to stop."""
+
+
 async def _serve(settings: settings_module.AgentSettings) -> None:
-    process = runner.AgentProcess.from_settings(settings)
+    process: _Process
+    if settings.jobs is not None:
+        process = job_runner.JobAgentProcess.from_settings(settings)
+    else:
+        process = runner.AgentProcess.from_settings(settings)
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, process.request_stop)
--- /dev/null
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/http_worker.py
@@ -0,0 +1,180 @@
+"""The product's own protocol between an agent and its job worker.
+
+``docs/job-workers.md`` describes it. Every answer names its outcome in
+``status``, by the values of :class:`runner.CallStatus`.
+"""
+
+import typing as t
+
+from mulberryloom_core import identity
+from mulberryloom_core import messages
+from mulberryloom_core.process import settings as checks
+from result import Err
+from result import Ok
+from result import Result
+import structlog
+
+from . import runner
+from . import worker_http
+
+HOLD_PATH = '/v1/runs/hold'
+START_PATH = '/v1/runs/start'
+STOP_PATH = '/v1/runs/stop'
+WORKER_HEADER = 'mulberryloom-worker'
+
+_AMOUNT = {'type': 'integer', 'minimum': 0, 'maximum': 1_000_000_000}
+_TIME = {'type': 'integer', 'minimum': 0, 'maximum': 1 << 53}
+_NAME = {'type': 'string', 'minLength': 1, 'maxLength': 100}
+
+HEARTBEAT_SCHEMA: dict[str, t.Any] = {
+    'type': 'object',
+    'additionalProperties': False,
+    'required': ['boot_ms', 'sequence', 'service', 'address', 'processors'],
+    'properties': {
+        'boot_ms': _TIME,
+        'sequence': _TIME,
+        'service': _NAME,
+        'address': _NAME,
+        'data_centre': {'type': 'string', 'maxLength': 100},
+        'rack': {'type': 'string', 'maxLength': 100},
+        'labels': {'type': 'array', 'items': _NAME, 'maxItems': 100},
+        'processors': {'type': 'number', 'minimum': 0, 'maximum': 10_000},
+        'memory_mb': _AMOUNT,
+        'accelerators': {**_AMOUNT, 'maximum': 1_024},
+        'is_draining': {'type': 'boolean'},
+        'remaining_ms': _TIME,
+    },
+}
+_MILLIS = 1_000
+
+_log = structlog.get_logger(__name__)
+
+
+class HttpWorker:
+    """Client of one job worker.
+
+    :param address: where the worker takes calls.
+    """
+
+    def __init__(self, address: identity.Address) -> None:
+        self._http = worker_http.WorkerHttp(address, WORKER_HEADER)
+
+    async def hold(self, call: runner.HoldCall) -> runner.HoldReply:
+        """Read the lists and renew the lease."""
+        observed = call.observed if self._http.is_list_connected else 0
+        code, document = await self._http.ask_lists(
+            HOLD_PATH,
+            call.worker,
+            {
+                'generation': call.generation,
+                'deadline_ms': call.deadline_ms,
+                'observed': observed,
+                'wait_ms': call.wait_ms,
+            },
+            call.wait_ms,
+        )
+        status = _status(code, document)
+        if status is not runner.CallStatus.DONE:
+            return runner.HoldReply(status)
+        try:
+            return runner.HoldReply(
+                status,
+                int(document['clock_ms']),
+                int(document['boot_ms']),
+                tuple(
+                    messages.RunningTask(
+                        str(item['task']),
+                        int(item['run']),
+                        str(item.get('checkpoint', '')),
+                        int(item.get('progress_percent', 0)),
+                    )
+                    for item in document['running']
+                ),
+                tuple(
+                    messages.EndedTask(
+                        int(item['sequence']),
+                        str(item['task']),
+                        int(item['run']),
+                        str(item['how']),
+                        str(item.get('checkpoint', '')),
+                    )
+                    for item in document['ended']
+                ),
+            )
+        except (KeyError, ValueError, TypeError, AttributeError) as problem:
+            _log.warning(
+                'lists unreadable', worker=call.worker, reason=repr(problem)
+            )
+            return runner.HoldReply(runner.CallStatus.UNKNOWN)
+
+    async def start(self, call: runner.StartCall) -> runner.CallReply:
+        """Start a run."""
+        body = {
+            'task': call.start.task,
+            'run': call.start.run_number,
+            'payload': call.start.payload,
+            'checkpoint': call.start.checkpoint,
+            'deadline_ms': call.deadline_ms,
+            'generation': call.generation,
+        }
+        return await self._order(START_PATH, call.worker, body)
+
+    async def stop(self, call: runner.StopCall) -> runner.CallReply:
+        """Stop a run."""
+        body = {
+            'task': call.run.task,
+            'run': call.run.run_number,
+            'generation': call.generation,
+        }
+        return await self._order(STOP_PATH, call.worker, body)
+
+    async def _order(
+        self, path: str, worker: str, body: worker_http.Document
+    ) -> runner.CallReply:
+        code, document = await self._http.order(path, worker, body)
+        clock_ms = document.get('clock_ms', 0)
+        return runner.CallReply(
+            _status(code, document),
+            clock_ms if isinstance(clock_ms, int) else 0,
+        )
+
+
+def _status(code: int, document: worker_http.Document) -> runner.CallStatus:
+    """Return the outcome of a call; what is not understood is unknown."""
+    if code >= 500 or code == 0:
+        return runner.CallStatus.UNKNOWN
+    try:
+        return runner.CallStatus(document.get('status'))
+    except ValueError:
+        return (
+            runner.CallStatus.REJECTED
+            if code >= 400
+            else (runner.CallStatus.UNKNOWN)
+        )
+
+
+def read_heartbeat(
+    worker: str, body: bytes
+) -> Result[runner.WorkerInfo, list[str]]:
+    """Read a heartbeat; an error names every mistake in it."""
+    parsed = checks.parse(body, HEARTBEAT_SCHEMA)
+    if isinstance(parsed, Err):
+        return Err([str(problem) for problem in parsed.err_value])
+    document = parsed.ok_value
+    return Ok(
+        runner.WorkerInfo(
+            worker,
+            document['boot_ms'],
+            document['sequence'],
+            document['service'],
+            document['address'],
+            document.get('data_centre', ''),
+            document.get('rack', ''),
+            tuple(document.get('labels', ())),
+            round(document['processors'] * _MILLIS),
+            document.get('memory_mb', 0),
+            document.get('accelerators', 0),
+            document.get('is_draining', False),
+            document.get('remaining_ms', 0),
+        )
+    )
--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/process.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/process.py
@@ -117,9 +117,14 @@
         self._keeper.on_leave(worker)
         self._wake.set()
 
+    @property
+    def has_leader(self) -> bool:
+        """Whether an entry leads, as far as this agent knows."""
+        return bool(self._leader)
+
     def metrics(self) -> str:
         """Return all counters and gauges as text."""
-        self.tally.gauge('has_leader', int(bool(self._leader)))
+        self.tally.gauge('has_leader', int(self.has_leader))
         self.tally.gauge('leader_generation', self._leader_generation)
         self.tally.gauge('known_entries', len(self._addresses))
         return '\n'.join([*self.tally.lines(), ''])
--- a/packages/mulberryloom-agent/src/mulberryloom_agent/process/settings.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/process/settings.py
@@ -44,11 +44,47 @@
             'maximum': 1_000,
         },
         'grace_ms': {'type': 'integer', 'minimum': 0, 'maximum': 3_600_000},
+        'jobs': {
+            'type': 'object',
+            'additionalProperties': False,
+            'required': ['worker', 'entries'],
+            'properties': {
+                'worker': _ADDRESS,
+                'entries': {
+                    'type': 'array',
+                    'minItems': 1,
+                    'items': _ADDRESS,
+                },
+            },
+        },
         'log_level': {'enum': ['debug', 'info', 'warning', 'error']},
     },
 }
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobSettings:
+    """How an agent serves a worker that runs tasks of jobs.
+
+    :param worker: where that worker takes calls.
+    :param entries: the entries' addresses for jobs, to start from.
+    """
+
+    worker: identity.Address
+    entries: tuple[identity.Address, ...]
+
+    @classmethod
+    def from_document(cls, document: dict[str, t.Any]) -> 'JobSettings':
+        """Build the settings from a document that keeps to the schema."""
+        return cls(
+            identity.Address.from_text(document['worker']),
+            tuple(
+                identity.Address.from_text(text)
+                for text in document['entries']
+            ),
+        )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AgentSettings:
     """Settings of one agent.
@@ -61,6 +97,8 @@
     :param metrics_listen: another address for the metrics, if wanted.
     :param backend_connections: open connections to the backend server.
     :param grace_ms: time for checkpoints at a stop.
+    :param jobs: set when the worker runs tasks of jobs; it serves no
+        single requests then.
     """
 
     worker: str
@@ -75,6 +113,7 @@
     backend_connections: int = 60
     grace_ms: int = 30_000
     log_level: str = 'info'
+    jobs: JobSettings | None = None
 
     @classmethod
     def from_document(cls, document: dict[str, t.Any]) -> 'AgentSettings':
@@ -85,6 +124,8 @@
                 values[key] = identity.Address.from_text(values[key])
         values['entries'] = tuple(values['entries'])
         values['secret'] = values['secret'].encode()
+        if 'jobs' in values:
+            values['jobs'] = JobSettings.from_document(values['jobs'])
         return cls(**values)
 
 
@@ -118,4 +159,10 @@
 def _addresses(document: dict[str, t.Any]) -> list[tuple[str, str]]:
     named = [(key, document[key]) for key in ADDRESS_KEYS if key in document]
     entries = enumerate(document['entries'])
-    return named + [(f'entries[{i}]', text) for i, text in entries]
+    named += [(f'entries[{i}]', text) for i, text in entries]
+    jobs = document.get('jobs')
+    if jobs is not None:
+        named.append(('jobs.worker', jobs['worker']))
+        for i, text in enumerate(jobs['entries']):
+            named.append((f'jobs.entries[{i}]', text))
+    return named
--- /dev/null
+++ b/packages/mulberryloom-agent/tests/test_http_worker.py
@@ -0,0 +1,165 @@
+"""Tests of the product's own protocol between agent and job worker."""
+
+import asyncio
+import json
+
+from mulberryloom_agent.connection import job_loopback
+from mulberryloom_agent.jobs import http_worker
+from mulberryloom_agent.jobs import runner
+from mulberryloom_core.connection import http_server
+from mulberryloom_core.connection import http_types
+from mulberryloom_core import identity
+from mulberryloom_core import messages
+import pytest
+
+Status = runner.CallStatus
+HEARTBEAT = {
+    'boot_ms': 5,
+    'sequence': 1,
+    'service': 'rental',
+    'address': '127.0.0.1:9',
+    'processors': 2.5,
+    'rack': 'r1',
+    'accelerators': 8,
+}
+
+
+async def _call_with(status, body, *calls):
+    """Make calls to a worker that gives one answer to all of them."""
+    asked = []
+
+    async def respond(request):
+        asked.append((request.path, json.loads(request.body)))
+        raw = body if isinstance(body, bytes) else json.dumps(body).encode()
+        return http_types.HttpResponse(status, body=raw)
+
+    server = http_server.HttpServer.from_handler(respond)
+    address = await server.listen(identity.Address('127.0.0.1', 0))
+    worker = http_worker.HttpWorker(address)
+    replies = []
+    for call in calls:
+        if isinstance(call, runner.HoldCall):
+            replies.append(await worker.hold(call))
+        elif isinstance(call, runner.StartCall):
+            replies.append(await worker.start(call))
+        else:
+            replies.append(await worker.stop(call))
+    server.stop_accepting()
+    return replies, asked
+
+
+START = runner.StartCall('w', 3, 900, messages.StartRun('j.0.0.0', 2, 'p', ''))
+STOP = runner.StopCall('w', 3, messages.RunRef('j.0.0.0', 2))
+
+
+def _hold(observed=0):
+    return runner.HoldCall(1, 'w', 3, 900, observed, 0)
+
+
+def test_orders_name_run_and_generation():
+    replies, asked = asyncio.run(
+        _call_with(200, {'status': 'done', 'clock_ms': 7}, START, STOP)
+    )
+    assert replies == [runner.CallReply(Status.DONE, 7)] * 2
+    assert [path for path, _ in asked] == ['/v1/runs/start', '/v1/runs/stop']
+    assert asked[0][1]['run'] == 2
+    assert asked[0][1]['generation'] == 3
+
+
+def test_lists_are_read_whole():
+    body = {
+        'status': 'done',
+        'clock_ms': 7,
+        'boot_ms': 5,
+        'running': [{'task': 'a', 'run': 1, 'progress_percent': 40}],
+        'ended': [{'sequence': 9, 'task': 'b', 'run': 2, 'how': 'done'}],
+    }
+    (held,), _ = asyncio.run(_call_with(200, body, _hold()))
+    assert held.running == (messages.RunningTask('a', 1, '', 40),)
+    assert held.ended == (messages.EndedTask(9, 'b', 2, 'done', ''),)
+
+
+def test_ends_are_acknowledged_only_over_a_used_connection():
+    body = {
+        'status': 'done',
+        'clock_ms': 7,
+        'boot_ms': 5,
+        'running': [],
+        'ended': [],
+    }
+    _, asked = asyncio.run(_call_with(200, body, _hold(4), _hold(4)))
+    assert [fields['observed'] for _, fields in asked] == [0, 4]
+
+
+@pytest.mark.parametrize(
+    ('code', 'body', 'wanted'),
+    [
+        (200, {'status': 'fenced'}, Status.FENCED),
+        (421, {'status': 'other-boot'}, Status.OTHER_BOOT),
+        (200, {'status': 'strange'}, Status.UNKNOWN),
+        (400, {'title': 'malformed'}, Status.REJECTED),
+        (500, {'status': 'done'}, Status.UNKNOWN),
+        (200, b'\xff', Status.UNKNOWN),
+        (200, b'[]', Status.UNKNOWN),
+    ],
+)
+def test_what_is_not_understood_is_unknown(code, body, wanted):
+    replies, _ = asyncio.run(_call_with(code, body, START, _hold()))
+    assert [reply.status for reply in replies] == [wanted, wanted]
+
+
+def test_a_worker_that_does_not_answer_is_unknown():
+    async def call():
+        worker = http_worker.HttpWorker(identity.Address('127.0.0.1', 9))
+        return await worker.start(START)
+
+    assert asyncio.run(call()).status is Status.UNKNOWN
+
+
+class Listener:
+    """Keeps what it is told."""
+
+    def __init__(self):
+        self.infos = []
+        self.left = []
+
+    def on_heartbeat(self, info):
+        self.infos.append(info)
+
+    def on_leave(self, worker):
+        self.left.append(worker)
+
+    def metrics(self):
+        return 'holds_total 1\n'
+
+
+def _ask(listener, method, path, body=b''):
+    request = http_types.HttpRequest(method, path, body=body)
+    return asyncio.run(job_loopback.JobLoopback(listener).respond(request))
+
+
+def test_heartbeats_and_leaves_reach_the_agent():
+    listener = Listener()
+    body = json.dumps(HEARTBEAT).encode()
+    assert _ask(listener, 'PUT', '/v1/worker/w1', body).status == 200
+    (info,) = listener.infos
+    assert (info.worker, info.cpu_millis) == ('w1', 2_500)
+    assert _ask(listener, 'DELETE', '/v1/worker/w1').status == 200
+    assert listener.left == ['w1']
+    assert b'holds_total' in _ask(listener, 'GET', '/metrics').body
+
+
+@pytest.mark.parametrize(
+    ('method', 'path', 'body', 'status'),
+    [
+        ('PUT', '/v1/worker/w1', b'\xff', 400),
+        ('PUT', '/v1/worker/w1', b'{"boot_ms": "x"}', 400),
+        ('PUT', '/v1/worker/', b'{}', 404),
+        ('PUT', '/other', b'{}', 404),
+        ('POST', '/v1/worker/w1', b'{}', 405),
+    ],
+)
+def test_strange_heartbeats_change_nothing(method, path, body, status):
+    listener = Listener()
+    assert _ask(listener, method, path, body).status == status
+    assert not listener.infos
--- /dev/null
+++ b/packages/mulberryloom-core/src/mulberryloom_core/request/job_documents.py
@@ -0,0 +1,141 @@
+"""Jobs as the product's own callers write them and are shown them."""
+
+import dataclasses
+import typing as t
+
+from result import Err
+from result import Ok
+from result import Result
+
+from .. import exceptions
+from . import jobs
+from ..process import settings as checks
+
+#: Longest payload; every task receives a copy.
+MAX_PAYLOAD_CHARACTERS = 4_000
+#: Tasks of one job; its record has to fit into one value of the store.
+MAX_TASKS = 8_000
+MAX_STEPS = 100
+_MILLIS = 1_000
+
+_AMOUNT = {'type': 'integer', 'minimum': 0, 'maximum': 1_000_000_000}
+_TIME = {'type': 'integer', 'minimum': 0, 'maximum': 1 << 53}
+_NAME = {'type': 'string', 'maxLength': 100}
+_FLAG = {'type': 'boolean'}
+
+STEP_SCHEMA: dict[str, t.Any] = {
+    'type': 'object',
+    'additionalProperties': False,
+    'required': ['tasks'],
+    'properties': {
+        'tasks': {'type': 'integer', 'minimum': 1, 'maximum': MAX_TASKS},
+        'processors': {'type': 'number', 'minimum': 0, 'maximum': 10_000},
+        'memory_mb': _AMOUNT,
+        'accelerators': {**_AMOUNT, 'maximum': 1_024},
+        'estimate_ms': _TIME,
+        'after': {'type': 'array', 'items': _AMOUNT, 'uniqueItems': True},
+        'is_gang': _FLAG,
+        'is_same_rack': _FLAG,
+        'label': _NAME,
+        'rack': _NAME,
+        'max_per_worker': _AMOUNT,
+        'is_checkpointed': _FLAG,
+        'is_lasting': _FLAG,
+    },
+}
+
+SCHEMA: dict[str, t.Any] = {
+    'type': 'object',
+    'additionalProperties': False,
+    'required': ['queue', 'steps'],
+    'properties': {
+        'queue': {'type': 'string', 'minLength': 1, 'maxLength': 200},
+        'payload': {'type': 'string', 'maxLength': MAX_PAYLOAD_CHARACTERS},
+        'steps': {
+            'type': 'array',
+            'minItems': 1,
+            'maxItems': MAX_STEPS,
+            'items': STEP_SCHEMA,
+        },
+        'repeats': {'type': 'integer', 'minimum': 0, 'maximum': MAX_TASKS},
+        'first_due_ms': _TIME,
+        'interval_ms': _TIME,
+    },
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Submission:
+    """A checked submission.
+
+    :param queue: name of the queue that it goes to.
+    """
+
+    queue: str
+    spec: jobs.JobSpec
+
+
+def read(body: bytes) -> Result[Submission, exceptions.Error]:
+    """Read a submission.
+
+    :return: an error of kind ``MALFORMED_REQUEST`` that names every
+        mistake with its path.
+    """
+    parsed = checks.parse(body, SCHEMA)
+    if isinstance(parsed, Err):
+        return _malformed('; '.join(str(item) for item in parsed.err_value))
+    document = parsed.ok_value
+    steps = tuple(_step(item) for item in document['steps'])
+    for index, step in enumerate(steps):
+        if any(earlier >= index for earlier in step.after):
+            return _malformed(f'$.steps[{index}].after: not an earlier step')
+    repeats = document.get('repeats', 0)
+    tasks = max(1, repeats) * sum(step.tasks for step in steps)
+    if tasks > MAX_TASKS:
+        return _malformed(f'$.steps: {tasks} tasks, at most {MAX_TASKS}')
+    spec = jobs.JobSpec(
+        document.get('payload', ''),
+        steps,
+        repeats,
+        document.get('first_due_ms', 0),
+        document.get('interval_ms', 0),
+    )
+    return Ok(Submission(document['queue'], spec))
+
+
+def _step(item: dict[str, t.Any]) -> jobs.Step:
+    fields = dict(item)
+    fields['cpu_millis'] = round(fields.pop('processors', 0) * _MILLIS)
+    fields['after'] = tuple(fields.get('after', ()))
+    return jobs.Step(**fields)
+
+
+def _malformed(detail: str) -> Err[exceptions.Error]:
+    kind = exceptions.ErrorKind.MALFORMED_REQUEST
+    return Err(exceptions.Error.from_kind(kind, detail))
+
+
+def describe(job: jobs.Job) -> dict[str, t.Any]:
+    """Return what callers and operators are shown of a job."""
+    return {
+        'job_id': job.job_id,
+        'queue': job.terms.queue,
+        'account': job.terms.account,
+        'priority': job.terms.priority,
+        'state': job.state.value,
+        'accepted_ms': job.accepted_ms,
+        'ended_ms': job.ended_ms,
+        'steps': [
+            _describe_step(job, index) for index in range(len(job.spec.steps))
+        ],
+    }
+
+
+def _describe_step(job: jobs.Job, index: int) -> dict[str, t.Any]:
+    tasks = [x for key, x in job.task_by_key.items() if key.step == index]
+    return {
+        'tasks': len(tasks),
+        'done': sum(task.is_done for task in tasks),
+        'running': sum(task.run is not None for task in tasks),
+        'failures': sum(task.failures for task in tasks),
+    }
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/__main__.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/__main__.py
@@ -20,6 +20,11 @@
         'list': commands.list_requests,
         'cancel': commands.cancel_requests,
     },
+    'jobs': {
+        'list': commands.list_jobs,
+        'show': commands.show_job,
+        'cancel': commands.cancel_job,
+    },
     'drain': commands.drain,
     'logs': {'explain': explain.explain},
     'report': {'burn': commands.report_burn},
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/connection/callers.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/connection/callers.py
@@ -13,6 +13,8 @@
 from result import Result
 
 from .. import effects
+from . import bodies
+from . import job_callers
 from . import problems
 from ..process import records
 from ..request import intake
@@ -49,10 +51,17 @@
 
     :param prefix: start of the ids of requests that come in here; no
         other entry, and no other run of this one, may use it.
+    :param jobs: the part that serves jobs, where there is one.
     """
 
-    def __init__(self, gate: Gate, prefix: str) -> None:
+    def __init__(
+        self,
+        gate: Gate,
+        prefix: str,
+        jobs: job_callers.JobService | None = None,
+    ) -> None:
         self._gate = gate
+        self._jobs = job_callers.JobCallers(jobs)
         self._prefix = prefix
         self._numbers = itertools.count(1)
 
@@ -70,6 +79,10 @@
                 _Kind.UNAUTHENTICATED, request_id=self._new_id()
             )
         parts = request.path.strip('/').split('/')
+        if parts[:2] == ['v1', 'jobs'] and len(parts) <= 3:
+            return await self._jobs.respond(
+                request, account, self._gate.configuration
+            )
         if len(parts) == 4 and parts[:2] == ['v1', 'services']:
             if request.method != 'POST':
                 return _not_allowed('POST')
@@ -203,31 +216,19 @@
     if isinstance(reply, effects.Accepted):
         headers_by_name['Location'] = f'/v1/requests/{reply.request_id}'
         document: dict[str, t.Any] = {'request_id': reply.request_id}
-        return json_response(202, document, headers_by_name)
+        return bodies.json_response(202, document, headers_by_name)
     if isinstance(reply, effects.Pending):
         document = {'request_id': reply.request_id, 'state': reply.phase}
-        return json_response(202, document, headers_by_name)
+        return bodies.json_response(202, document, headers_by_name)
     if isinstance(reply, effects.CancelAccepted):
         document = {'request_ids': reply.request_ids}
-        return json_response(202, document, headers_by_name)
+        return bodies.json_response(202, document, headers_by_name)
     document = {
         'number': reply.ticket,
         'version': reply.config_version,
         'room_bytes': reply.room_bytes,
     }
-    return json_response(200, document, headers_by_name)
-
-
-def json_response(
-    status: int,
-    document: t.Any,
-    headers_by_name: dict[str, str] | None = None,
-) -> http_types.HttpResponse:
-    """Return a JSON answer."""
-    body = json.dumps(document).encode()
-    return http_types.HttpResponse(
-        status, body=body, headers_by_name=headers_by_name or {}
-    )
+    return bodies.json_response(200, document, headers_by_name)
 
 
 def _wants_async(request: http_types.HttpRequest) -> bool:
--- /dev/null
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/connection/job_callers.py
@@ -0,0 +1,246 @@
+"""HTTP interface for jobs: submit, ask, list, cancel."""
+
+import secrets
+import typing as t
+import urllib.parse
+
+from mulberryloom_core.connection import http_types
+from mulberryloom_core import exceptions
+from mulberryloom_core.request import job_documents
+from mulberryloom_core.request import jobs
+from mulberryloom_core.version import catalogue as catalogues
+from mulberryloom_core.version import configuration as configurations
+from result import Err
+from result import Result
+
+from . import bodies
+from ..jobs import intake as intakes
+from . import problems
+from ..process import records
+
+PATH = '/v1/jobs'
+#: Time that a caller waits when it does not say.
+DEFAULT_BUDGET_MS = 3_000
+BUDGET_HEADER = 'mulberryloom-deadline-ms'
+MAX_KEY_CHARACTERS = 255
+#: When callers shall come back to an entry without a configuration.
+NO_CONFIGURATION_RETRY_MS = 1_000
+_ID_BYTES = 16
+
+_Kind = exceptions.ErrorKind
+
+
+class JobService(t.Protocol):
+    """The part of an entry that serves jobs."""
+
+    @property
+    def catalogue(self) -> catalogues.Catalogue | None:
+        """Queues and accounts in force."""
+
+    @property
+    def intake(self) -> intakes.Intake:
+        """Requests about jobs."""
+
+    async def explain_job(
+        self, job_id: str
+    ) -> Result[list[dict[str, t.Any]], exceptions.Error]:
+        """Return what the leader has decided about a job, in order."""
+
+
+class JobCallers:
+    """Answers callers' requests about jobs.
+
+    :param service: the entry's part for jobs; ``None`` when its settings
+        have none.
+    """
+
+    def __init__(self, service: JobService | None) -> None:
+        self._service = service
+
+    async def respond(
+        self,
+        request: http_types.HttpRequest,
+        account: configurations.ClientAccount,
+        configuration: configurations.Configuration,
+    ) -> http_types.HttpResponse:
+        """Answer one request of a known account."""
+        if self._service is None:
+            return problems.response_of_kind(
+                _Kind.UNKNOWN_QUEUE, 'this entry takes no jobs'
+            )
+        job_id = request.path.removeprefix(PATH).strip('/')
+        match (request.method, bool(job_id)):
+            case ('POST', False):
+                return await self._submit(
+                    self._service, request, account, configuration
+                )
+            case ('GET', False):
+                return await self._list(self._service, request, account)
+            case ('GET', True):
+                return await self._show(self._service, job_id, account)
+            case ('DELETE', True):
+                return await self._cancel(
+                    self._service, request, job_id, account
+                )
+        response = problems.response_of_kind(
+            _Kind.METHOD_NOT_ALLOWED, f'not {request.method} here'
+        )
+        allowed = 'GET, DELETE' if job_id else 'GET, POST'
+        response.headers_by_name['Allow'] = allowed
+        return response
+
+    async def _submit(
+        self,
+        service: JobService,
+        request: http_types.HttpRequest,
+        account: configurations.ClientAccount,
+        configuration: configurations.Configuration,
+    ) -> http_types.HttpResponse:
+        key = request.headers_by_name.get('idempotency-key', '').strip()
+        if len(key) > MAX_KEY_CHARACTERS:
+            detail = f'Idempotency-Key: over {MAX_KEY_CHARACTERS} characters'
+            return problems.response_of_kind(_Kind.MALFORMED_REQUEST, detail)
+        submission = job_documents.read(request.body)
+        if isinstance(submission, Err):
+            return problems.response(submission.err_value)
+        wanted = submission.ok_value
+        catalogue = service.catalogue
+        if catalogue is None:
+            return problems.response(
+                exceptions.Error.from_kind(
+                    _Kind.NO_WORKER,
+                    'no configuration yet',
+                    retry_after_ms=NO_CONFIGURATION_RETRY_MS,
+                )
+            )
+        queue = catalogue.queue_by_name.get(wanted.queue)
+        if queue is None:
+            return problems.response_of_kind(
+                _Kind.UNKNOWN_QUEUE, f'no queue {wanted.queue!r}'
+            )
+        refusal = _refusal(account, queue, configuration)
+        if refusal is not None:
+            return problems.response(refusal)
+        if key:
+            job_id = records.keyed_request_id(account.name, key)
+        else:
+            job_id = secrets.token_hex(_ID_BYTES)
+        terms = jobs.Terms(
+            queue.name,
+            queue.service,
+            account.name,
+            queue.priority,
+            queue.max_attempts,
+            queue.stretch,
+            queue.slack_ms,
+        )
+        result = await service.intake.submit(
+            job_id, wanted.spec, terms, _budget_ms(request)
+        )
+        if result.is_err():
+            return problems.response(result.unwrap_err(), job_id)
+        document = {'job_id': job_id, 'state': jobs.JobState.QUEUED.value}
+        headers_by_name = {'Location': f'{PATH}/{job_id}'}
+        return bodies.json_response(202, document, headers_by_name)
+
+    async def _list(
+        self,
+        service: JobService,
+        request: http_types.HttpRequest,
+        account: configurations.ClientAccount,
+    ) -> http_types.HttpResponse:
+        fields = urllib.parse.parse_qs(request.query)
+        queue = fields.get('queue', [''])[0]
+        return await respond_list(service, queue, account.name)
+
+    async def _show(
+        self,
+        service: JobService,
+        job_id: str,
+        account: configurations.ClientAccount,
+    ) -> http_types.HttpResponse:
+        found = await _find_own(service, job_id, account)
+        if found.is_err():
+            return problems.response(found.unwrap_err())
+        return bodies.json_response(
+            200, job_documents.describe(found.unwrap())
+        )
+
+    async def _cancel(
+        self,
+        service: JobService,
+        request: http_types.HttpRequest,
+        job_id: str,
+        account: configurations.ClientAccount,
+    ) -> http_types.HttpResponse:
+        found = await _find_own(service, job_id, account)
+        if found.is_err():
+            return problems.response(found.unwrap_err())
+        return await respond_cancel(service, job_id, _budget_ms(request))
+
+
+async def respond_list(
+    service: JobService, queue: str, account: str
+) -> http_types.HttpResponse:
+    """List jobs, with the number of those that have not started.
+
+    :param queue: name of a queue; empty for all.
+    :param account: name of a client account; empty for all.
+    """
+    listed = await service.intake.list_jobs()
+    if listed.is_err():
+        return problems.response(listed.unwrap_err())
+    wanted = [
+        job
+        for job in listed.unwrap()
+        if queue in ('', job.terms.queue)
+        and account in ('', job.terms.account)
+    ]
+    wanted.sort(key=lambda job: (job.accepted_ms, job.job_id))
+    pending = sum(job.state is jobs.JobState.QUEUED for job in wanted)
+    shown = [job_documents.describe(job) for job in wanted]
+    return bodies.json_response(200, {'pending': pending, 'jobs': shown})
+
+
+async def respond_cancel(
+    service: JobService, job_id: str, budget_ms: int = DEFAULT_BUDGET_MS
+) -> http_types.HttpResponse:
+    """Cancel a job that has not ended, and tell the state it is in now."""
+    result = await service.intake.cancel(job_id, budget_ms)
+    if result.is_err():
+        return problems.response(result.unwrap_err(), job_id)
+    document = {'job_id': job_id, 'state': result.unwrap().value}
+    return bodies.json_response(200, document)
+
+
+async def _find_own(
+    service: JobService,
+    job_id: str,
+    account: configurations.ClientAccount,
+) -> Result[jobs.Job, exceptions.Error]:
+    """Return a job of an account; those of others are not known to it."""
+    found = await service.intake.find(job_id)
+    if found.is_ok() and found.unwrap().terms.account != account.name:
+        return Err(exceptions.Error.from_kind(_Kind.UNKNOWN_JOB))
+    return found
+
+
+def _refusal(
+    account: configurations.ClientAccount,
+    queue: catalogues.Queue,
+    configuration: configurations.Configuration,
+) -> exceptions.Error | None:
+    """Return why an account may not use a queue, if it may not."""
+    if account.state is not configurations.AccountState.ACTIVE:
+        detail = f'account {account.name} is suspended'
+        return exceptions.Error.from_kind(_Kind.FORBIDDEN, detail)
+    service = configuration.services_by_name.get(queue.service)
+    if service is None or account.name not in service.accounts:
+        detail = f'{account.name} may not use {queue.service}'
+        return exceptions.Error.from_kind(_Kind.FORBIDDEN, detail)
+    return None
+
+
+def _budget_ms(request: http_types.HttpRequest) -> int:
+    text = request.headers_by_name.get(BUDGET_HEADER, '')
+    return max(1, int(text)) if text.isdecimal() else DEFAULT_BUDGET_MS
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/connection/operator_client.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/connection/operator_client.py
@@ -38,20 +38,28 @@
         self._entry = entry
         self._token = token
 
-    def get(self, path: str) -> Result[t.Any, Refusal]:
-        """Read a resource and return its document."""
-        return self._run('GET', path, b'')
+    def get(self, path: str, query: str = '') -> Result[t.Any, Refusal]:
+        """Read a resource and return its document.
+
+        :param query: text after the question mark; empty for none.
+        """
+        return self._run('GET', path, b'', query)
 
     def post(self, path: str, body: bytes = b'') -> Result[t.Any, Refusal]:
         """Post a body and return the answer's document."""
         return self._run('POST', path, body)
 
+    def delete(self, path: str) -> Result[t.Any, Refusal]:
+        """Delete a resource and return the answer's document."""
+        return self._run('DELETE', path, b'')
+
     def _run(
-        self, method: str, path: str, body: bytes
+        self, method: str, path: str, body: bytes, query: str = ''
     ) -> Result[t.Any, Refusal]:
         request = http_types.HttpRequest(
             method,
             path,
+            query,
             headers_by_name={
                 'authorization': f'Bearer {self._token}',
                 'content-type': 'application/json',
@@ -121,5 +129,11 @@
         'which is safe'
     ),
     'store-conflict': 'another ticket came first; apply the same one again',
+    'no-worker': 'an entry takes over the lead; try again in some seconds',
+    'unknown-job': 'check the id; see mulberryloom jobs list',
+    'unknown-queue': (
+        'name an entry with "jobs" in its settings, and a queue of the '
+        'configuration'
+    ),
     'unknown-request': 'check the number or id; see mulberryloom status',
 }
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/connection/operators.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/connection/operators.py
@@ -3,14 +3,18 @@
 import dataclasses
 import re
 import typing as t
+import urllib.parse
 
 from mulberryloom_core.connection import http_types
 from mulberryloom_core import exceptions
 from mulberryloom_core.process import metrics
+from mulberryloom_core.request import job_documents
 from result import Err
 
 from .. import effects
+from . import bodies
 from . import callers
+from . import job_callers
 from . import problems
 from ..process import status
 from . import tokens
@@ -46,10 +50,16 @@
 
 
 class Operators:
-    """Answers operators' HTTP requests."""
+    """Answers operators' HTTP requests.
 
-    def __init__(self, gate: Gate) -> None:
+    :param jobs: the part that serves jobs, where there is one.
+    """
+
+    def __init__(
+        self, gate: Gate, jobs: job_callers.JobService | None = None
+    ) -> None:
         self._gate = gate
+        self._jobs = jobs
 
     async def respond(
         self, request: http_types.HttpRequest
@@ -58,7 +68,7 @@
         if request.path == '/ready':
             status_code = 200 if self._gate.is_ready else 503
             document = {'is_ready': self._gate.is_ready}
-            return callers.json_response(status_code, document)
+            return bodies.json_response(status_code, document)
         if request.path == '/metrics':
             return self._gate.metrics.response()
         if not tokens.is_operator(
@@ -81,7 +91,7 @@
             return _respond(status.describe(core, now))
         if target == ('GET', '/v1/requests'):
             listed = status.list_requests(core, now)
-            return callers.json_response(
+            return bodies.json_response(
                 200, [dataclasses.asdict(item) for item in listed]
             )
         if target == ('POST', '/v1/requests/cancel'):
@@ -90,17 +100,60 @@
             return self._burn()
         if target == ('POST', '/v1/drain'):
             self._gate.request_stop()
-            return callers.json_response(202, {'is_stopping': True})
+            return bodies.json_response(202, {'is_stopping': True})
         if target == ('POST', '/v1/tickets'):
             return await self._ticket(request, is_check=False)
         if target == ('POST', '/v1/tickets/check'):
             return await self._ticket(request, is_check=True)
+        if request.path.startswith(job_callers.PATH):
+            return await self._on_jobs(request)
         found = _TICKET_PATH.fullmatch(request.path)
         if found is not None and request.method == 'GET':
             return self._show_ticket(int(found.group(1)))
         detail = f'no resource {request.method} {request.path[:100]}'
         return problems.response_of_kind(_Kind.UNKNOWN_REQUEST, detail)
 
+    async def _on_jobs(
+        self, request: http_types.HttpRequest
+    ) -> http_types.HttpResponse:
+        """Answer a question about jobs of any account."""
+        if self._jobs is None:
+            return problems.response_of_kind(
+                _Kind.UNKNOWN_QUEUE, 'this entry takes no jobs'
+            )
+        job_id = request.path.removeprefix(job_callers.PATH).strip('/')
+        fields = urllib.parse.parse_qs(request.query)
+        match (request.method, bool(job_id)):
+            case ('GET', False):
+                return await job_callers.respond_list(
+                    self._jobs,
+                    fields.get('queue', [''])[0],
+                    fields.get('account', [''])[0],
+                )
+            case ('GET', True):
+                return await self._show_job(self._jobs, job_id, fields)
+            case ('DELETE', True):
+                return await job_callers.respond_cancel(self._jobs, job_id)
+        return problems.response_of_kind(_Kind.METHOD_NOT_ALLOWED)
+
+    async def _show_job(
+        self,
+        service: job_callers.JobService,
+        job_id: str,
+        fields: dict[str, list[str]],
+    ) -> http_types.HttpResponse:
+        """Show a job, with the leader's decisions if ``why`` is given."""
+        found = await service.intake.find(job_id)
+        if found.is_err():
+            return problems.response(found.unwrap_err())
+        document = job_documents.describe(found.unwrap())
+        if 'why' in fields:
+            explained = await service.explain_job(job_id)
+            if explained.is_err():
+                return problems.response(explained.unwrap_err())
+            document['decisions'] = explained.unwrap()
+        return bodies.json_response(200, document)
+
     async def _ticket(
         self, request: http_types.HttpRequest, is_check: bool
     ) -> http_types.HttpResponse:
@@ -134,7 +187,7 @@
                 )
             )
             cancelled.extend(ids)
-        return callers.json_response(202, {'request_ids': cancelled})
+        return bodies.json_response(202, {'request_ids': cancelled})
 
     def _by_account(self, request_ids: list[str]) -> dict[str, list[str]]:
         """Group the open ones among the requests by client account."""
@@ -151,10 +204,10 @@
         context = self._gate.core.context
         wall_ms = context.wall_ms(self._gate.now_ms())
         rates = context.burn.rates(context.configuration, wall_ms)
-        return callers.json_response(
+        return bodies.json_response(
             200, [dataclasses.asdict(rate) for rate in rates]
         )
 
 
 def _respond(item: t.Any) -> http_types.HttpResponse:
-    return callers.json_response(200, dataclasses.asdict(item))
+    return bodies.json_response(200, dataclasses.asdict(item))
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/calls.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/calls.py
@@ -21,6 +21,8 @@
     JOB_CHANGED = 'job-changed'
     JOB_STATE = 'job-state'
     PENDING_COUNT = 'pending-count'
+    #: What the leader has decided about a job.
+    JOB_DECISIONS = 'job-decisions'
     #: The newest configuration that the other entry has.
     CATALOGUE = 'catalogue'
     #: A call to the store on behalf of an entry that cannot reach it.
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/entry.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/entry.py
@@ -381,6 +381,11 @@
                     return _not_leading()
                 count = self._term.leader.pending_count(call.argument)
                 return Ok(str(count).encode())
+            case calls.CallKind.JOB_DECISIONS:
+                if self._term is None:
+                    return _not_leading()
+                found = self._term.leader.explain(call.argument)
+                return Ok(orjson.dumps(found))
             case calls.CallKind.CATALOGUE:
                 return Ok(self._follower.document)
             case calls.CallKind.STORE:
@@ -445,6 +450,32 @@
         )
         return None if answer.is_err() else int(answer.unwrap())
 
+    async def explain_job(
+        self, job_id: str
+    ) -> Result[list[dict[str, t.Any]], exceptions.Error]:
+        """Return what the leader has decided about a job, in order.
+
+        A new leader knows only its own decisions; earlier ones are in the
+        logs.
+        """
+        if self._term is not None:
+            return Ok(self._term.leader.explain(job_id))
+        if self._record.name not in self._peer_by_name:
+            return Err(
+                exceptions.Error.from_kind(
+                    exceptions.ErrorKind.NO_WORKER,
+                    'no entry is known to lead',
+                    retry_after_ms=self._election.silent_ms,
+                )
+            )
+        answer = await self._calls.ask(
+            self._record.name,
+            calls.CallKind.JOB_DECISIONS,
+            job_id,
+            timeout_ms=PEER_TIMEOUT_MS,
+        )
+        return answer.map(orjson.loads)
+
     def _on_catalogue(self, found: catalogues.Catalogue) -> None:
         if self._term is not None:
             self._term.leader.catalogue = found
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/intake.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/intake.py
@@ -197,6 +197,39 @@
             return Err(found.unwrap_err())
         return Ok(found.unwrap()[0].state)
 
+    async def find(self, job_id: str) -> Result[jobs.Job, exceptions.Error]:
+        """Return a job as it is stored."""
+        return (await self._read(job_id)).map(lambda found: found[0])
+
+    async def list_jobs(
+        self,
+    ) -> Result[list[jobs.Job], exceptions.Error]:
+        """Return all jobs that are stored, ended ones for a while too."""
+        answer = await self._store.call(store.ListKeys(keys.JOBS))
+        if answer.is_err():
+            return Err(self._unreached(answer.unwrap_err()))
+        found = []
+        for entry in answer.unwrap().entries:
+            decoded = job_records.decode(entry.value)
+            if decoded.is_ok():
+                found.append(decoded.unwrap())
+            else:
+                _log.warning(
+                    'job record skipped',
+                    key=entry.key,
+                    revision=entry.revision,
+                    reason=decoded.unwrap_err().detail,
+                )
+        return Ok(found)
+
+    def _unreached(self, error: exceptions.Error) -> exceptions.Error:
+        """Return the error of a read that the store did not answer."""
+        return exceptions.Error.from_kind(
+            _Kind.STORE_UNAVAILABLE,
+            error.detail,
+            retry_after_ms=self._store.retry_after_ms,
+        )
+
     async def _read(
         self, job_id: str
     ) -> Result[tuple[jobs.Job, int], exceptions.Error]:
@@ -204,13 +237,7 @@
         key = keys.job_key(job_id)
         answer = await self._store.call(store.GetKey(key))
         if answer.is_err():
-            return Err(
-                exceptions.Error.from_kind(
-                    _Kind.STORE_UNAVAILABLE,
-                    answer.unwrap_err().detail,
-                    retry_after_ms=self._store.retry_after_ms,
-                )
-            )
+            return Err(self._unreached(answer.unwrap_err()))
         entries = answer.unwrap().entries
         if not entries:
             return Err(exceptions.Error.from_kind(_Kind.UNKNOWN_JOB))
@@ -288,16 +315,10 @@
         count = await self._leader.pending_count(queue)
         if count is not None:
             return Ok(count)
-        answer = await self._store.call(store.ListKeys(keys.JOBS))
-        if answer.is_err():
-            return Err(answer.unwrap_err())
-        count = 0
-        for entry in answer.unwrap().entries:
-            decoded = job_records.decode(entry.value)
-            if decoded.is_err():
-                continue
-            job = decoded.unwrap()
-            is_waiting = job.state is jobs.JobState.QUEUED
-            if job.terms.queue == queue and is_waiting:
-                count += 1
-        return Ok(count)
+        listed = await self.list_jobs()
+        return listed.map(
+            lambda found: sum(
+                job.terms.queue == queue and job.state is jobs.JobState.QUEUED
+                for job in found
+            )
+        )
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import typing as t
 
 from mulberryloom_core import messages
 from mulberryloom_core.process import tally
@@ -20,6 +21,7 @@
 from mulberryloom_policy.jobs import worth
 import structlog
 
+from . import decisions
 from . import fleet
 from . import ledger as ledgers
 
@@ -87,6 +89,7 @@
         self._planner = JobPlanner(options.plan)
         self._since_ms = now_ms
         self._ledger = ledgers.JobLedger(generation)
+        self._decisions = decisions.DecisionLog()
         self._link_by_key: dict[fleet.WorkerKey, fleet.WorkerLink] = {}
         self._key_by_node: dict[str, fleet.WorkerKey] = {}
         self._orphan_by_key: dict[
@@ -107,6 +110,7 @@
         self, entries: list[store.Entry], now_ms: int, wall_ms: int
     ) -> None:
         """Take in job records that were read from the store."""
+        self._decisions.wall_ms = wall_ms
         for entry in entries:
             job = self._ledger.adopt(entry)
             if job is not None:
@@ -150,6 +154,10 @@
         """Return what may be shown of a job, if it is known."""
         return self._ledger.shown_state(job_id)
 
+    def explain(self, job_id: str) -> list[dict[str, t.Any]]:
+        """Return what this leader has decided about a job, in order."""
+        return self._decisions.of(job_id)
+
     def pending_count(self, queue: str) -> int:
         """Return how many jobs of a queue have not started."""
         found = (self._ledger.find(job_id) for job_id in self._open_ids)
@@ -219,6 +227,7 @@
         wall_ms: int,
     ) -> None:
         """Take in what an agent says of its worker."""
+        self._decisions.wall_ms = wall_ms
         if not report.worker:
             return
         link = self._link(node, report, now_ms)
@@ -352,9 +361,9 @@
                 )
                 run.progress_ms = now_ms
                 run.sent_sequence = run.sent_sequence or link.sequence or 1
-                _log.info(
+                self._decisions.record(
                     'run confirmed',
-                    job_id=run.job.job_id,
+                    run.job.job_id,
                     task=run.name,
                     run=run.run.number,
                     worker=run.run.worker,
@@ -406,9 +415,9 @@
         how = _run_end(end.how)
         self._tally.count('runs_ended_total', how.value)
         job, task = run.job, run.task
-        _log.info(
+        self._decisions.record(
             'run ended',
-            job_id=job.job_id,
+            job.job_id,
             task=run.name,
             run=run.run.number,
             worker=run.run.worker,
@@ -452,7 +461,9 @@
             return
         task = job.task_by_key.get(parsed[1])
         if task is not None and self._counts_late(job, task, end):
-            _log.info('late end counts', job_id=job.job_id, task=end.task)
+            self._decisions.record(
+                'late end counts', job.job_id, task=end.task
+            )
             task.is_done = True
             self._close_if_final(job, wall_ms)
         link.unrecorded_ends.add(end.sequence)
@@ -510,9 +521,9 @@
             self._tally.observe_ms(
                 'job_duration_ms', max(0, wall_ms - job.accepted_ms)
             )
-            _log.info(
+            self._decisions.record(
                 'job ended',
-                job_id=job.job_id,
+                job.job_id,
                 state=job.state.value,
                 after_ms=wall_ms - job.accepted_ms,
             )
@@ -556,9 +567,9 @@
             return
         run.is_stopping = True
         self._tally.count('runs_stopped_total', reason.partition(' ')[0])
-        _log.info(
+        self._decisions.record(
             'run stopping',
-            job_id=run.job.job_id,
+            run.job.job_id,
             task=run.name,
             run=run.run.number,
             worker=run.run.worker,
@@ -593,9 +604,9 @@
         """Give up a run that has certainly not started or is over."""
         if run.task.run != run.run:
             return
-        _log.info(
+        self._decisions.record(
             'run void',
-            job_id=run.job.job_id,
+            run.job.job_id,
             task=run.name,
             run=run.run.number,
             worker=run.run.worker,
@@ -636,6 +647,7 @@
 
     def tick(self, now_ms: int, wall_ms: int) -> None:
         """Do what the time makes due."""
+        self._decisions.wall_ms = wall_ms
         options = self._options
         for key, link in list(self._link_by_key.items()):
             if now_ms - link.reported_ms > options.silent_ms:
@@ -650,12 +662,14 @@
         job = self._ledger.find(job_id)
         if job is None:
             del self._open_ids[job_id]
+            self._decisions.forget(job_id)
             return
         if not job.ended_ms or any(job.active_tasks()):
             return
         if wall_ms - job.ended_ms > self._options.keep_ms:
             self._ledger.delete(job_id)
             del self._open_ids[job_id]
+            self._decisions.forget(job_id)
 
     def plan(self, now_ms: int, wall_ms: int) -> None:
         """Decide what starts and stops, if anything has changed."""
@@ -688,8 +702,8 @@
         }
         for key, reason in reason_by_step.items():
             if self._blocked_reason_by_step.get(key) != reason:
-                _log.info(
-                    'step waits', job_id=key[0], step=key[1], reason=reason
+                self._decisions.record(
+                    'step waits', key[0], step=key[1], reason=reason
                 )
         self._blocked_reason_by_step = reason_by_step
 
@@ -720,9 +734,9 @@
         )
         self._run_by_key[run.key] = run
         room.run_by_key[run.key] = run
-        _log.info(
+        self._decisions.record(
             'run planned',
-            job_id=job.job_id,
+            job.job_id,
             task=run.name,
             run=number,
             worker=room.worker,
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/process/commands.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/process/commands.py
@@ -8,6 +8,7 @@
 import sys
 import time
 import typing as t
+import urllib.parse
 
 from mulberryloom_core import identity
 from mulberryloom_core.process import logs
@@ -227,6 +228,68 @@
     return _finish(answer, json, reports.cancelled)
 
 
+def list_jobs(
+    *,
+    queue: str = '',
+    account: str = '',
+    entry: str = DEFAULT_ENTRY,
+    token_file: pathlib.Path | None = None,
+    json: bool = False,
+) -> int:
+    """List the jobs of all entries, ended ones for a while too.
+
+    :param queue: only those of this queue, such as ``rental/review-photo``.
+    :param account: only those of this client account.
+    :param entry: operators' address of any entry.
+    :param token_file: file with your token; else MULBERRYLOOM_TOKEN.
+    :param json: print JSON for machines.
+    """
+    fields = {'queue': queue, 'account': account}
+    query = urllib.parse.urlencode({k: v for k, v in fields.items() if v})
+    answer = _client(entry, token_file).get('/v1/jobs', query)
+    return _finish(answer, json, reports.jobs)
+
+
+def show_job(
+    job_id: str,
+    *,
+    why: bool = False,
+    entry: str = DEFAULT_ENTRY,
+    token_file: pathlib.Path | None = None,
+    json: bool = False,
+) -> int:
+    """Show a job, and if wanted why it waited and what was done for it.
+
+    :param job_id: id as "mulberryloom jobs list" shows it.
+    :param why: also show what the leader decided about it.
+    :param entry: operators' address of any entry.
+    :param token_file: file with your token; else MULBERRYLOOM_TOKEN.
+    :param json: print JSON for machines.
+    """
+    path = f'/v1/jobs/{urllib.parse.quote(job_id, safe="")}'
+    answer = _client(entry, token_file).get(path, 'why=1' if why else '')
+    return _finish(answer, json, reports.job)
+
+
+def cancel_job(
+    job_id: str,
+    *,
+    entry: str = DEFAULT_ENTRY,
+    token_file: pathlib.Path | None = None,
+    json: bool = False,
+) -> int:
+    """Cancel a job; one that has ended is left alone.
+
+    :param job_id: id as "mulberryloom jobs list" shows it.
+    :param entry: operators' address of any entry.
+    :param token_file: file with your token; else MULBERRYLOOM_TOKEN.
+    :param json: print JSON for machines.
+    """
+    path = f'/v1/jobs/{urllib.parse.quote(job_id, safe="")}'
+    answer = _client(entry, token_file).delete(path)
+    return _finish(answer, json, reports.job_state)
+
+
 def drain(
     *,
     entry: str = DEFAULT_ENTRY,
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/process/reports.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/process/reports.py
@@ -136,6 +136,60 @@
     return f'cancelling {len(document["request_ids"])} open requests'
 
 
+def jobs(document: t.Any) -> str:
+    """List jobs."""
+    table = tables.render(
+        ['job', 'client account', 'queue', 'state', 'tasks done', 'running'],
+        [
+            [
+                job['job_id'],
+                job['account'],
+                job['queue'],
+                job['state'],
+                f'{_sum(job, "done")} of {_sum(job, "tasks")}',
+                _sum(job, 'running'),
+            ]
+            for job in document['jobs']
+        ],
+    )
+    return f'{table}\n{document["pending"]} not started'
+
+
+def _sum(job: t.Any, field: str) -> int:
+    return sum(step[field] for step in job['steps'])
+
+
+def job(document: t.Any) -> str:
+    """Return one job for people, with the decisions on it if shown."""
+    head = (
+        f'{document["job_id"]}: {document["state"]}, '
+        f'{document["queue"]} of {document["account"]}, priority '
+        f'{document["priority"]}'
+    )
+    steps = tables.render(
+        ['step', 'tasks', 'done', 'running', 'failures'],
+        [
+            [n, s['tasks'], s['done'], s['running'], s['failures']]
+            for n, s in enumerate(document['steps'])
+        ],
+    )
+    lines = [head, steps]
+    for item in document.get('decisions', ()):
+        fields = {k: v for k, v in item.items() if k not in ('at_ms', 'event')}
+        after_ms = item['at_ms'] - document['accepted_ms']
+        details = ' '.join(f'{name}={value}' for name, value in fields.items())
+        lines.append(
+            f'{tables.duration(max(0, after_ms))} after its acceptance: '
+            f'{item["event"]} {details}'
+        )
+    return '\n'.join(lines)
+
+
+def job_state(document: t.Any) -> str:
+    """Tell the state that a job is in now."""
+    return f'{document["job_id"]} is {document["state"]}'
+
+
 def burn(document: t.Any) -> str:
     """Return the burn report for people."""
     if not document:
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/process/runner.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/process/runner.py
@@ -27,6 +27,8 @@
 from ..connection import problems
 from . import core as cores
 from . import entry_metrics
+from ..jobs import entry as job_entry
+from ..jobs import stored_catalogue
 from . import settings as entry_settings
 
 TICK_MS = 100
@@ -69,6 +71,7 @@
         self._is_stop_requested = False
         self._metrics = entry_metrics.EntryMetrics()
         self._listening = settings
+        self._jobs = _job_entry(settings, clock, store)
 
     @classmethod
     def from_settings(
@@ -158,6 +161,8 @@
         self._inbox.put_nowait(effects.WallTime(self._clock.wall_ms()))
         for address in self._listening.other_entries:
             self._node.connect(identity.Address.from_text(address))
+        if self._jobs is not None:
+            await self._jobs.start()
         caller_server, operator_server = await self._listen()
         tasks = [
             asyncio.create_task(self._handle_inputs()),
@@ -173,6 +178,8 @@
             for task in [*tasks, *self._store_tasks]:
                 task.cancel()
             await self._node.close()
+            if self._jobs is not None:
+                await self._jobs.close()
         _log.info('entry stopped')
 
     async def _listen(
@@ -181,12 +188,12 @@
         settings = self._settings
         prefix = f'{settings.name}-{self._incarnation:x}-c'
         caller_server = http_server.HttpServer.from_handler(
-            callers.Callers(self, prefix).respond,
+            callers.Callers(self, prefix, self._jobs).respond,
             settings.limits,
             problems.response_of_bad_request,
         )
         operator_server = http_server.HttpServer.from_handler(
-            operators.Operators(self).respond,
+            operators.Operators(self, self._jobs).respond,
             settings.limits,
             problems.response_of_bad_request,
         )
@@ -220,6 +227,8 @@
         while not self._is_stop_requested:
             await asyncio.sleep(TICK_MS / _SECOND_MS)
         _log.info('entry stopping')
+        if self._jobs is not None:
+            self._jobs.begin_stop()
         notice_ms = self._settings.balancer_notice_ms
         await asyncio.sleep(notice_ms / _SECOND_MS)
         caller_server.stop_accepting()
@@ -283,3 +292,24 @@
                 next_wall_ms += WALL_TIME_INTERVAL_MS
                 wall = effects.WallTime(self._clock.wall_ms())
                 self._inbox.put_nowait(wall)
+
+
+def _job_entry(
+    settings: entry_settings.EntrySettings,
+    clock: clocks.Clock,
+    store: stores.Store,
+) -> job_entry.JobEntry | None:
+    """Build the part that serves jobs, if the settings have one."""
+    if settings.jobs is None:
+        return None
+    return job_entry.JobEntry.from_parts(
+        job_entry.EntryIdentity(
+            settings.name,
+            settings.jobs.listen,
+            settings.secret.encode(),
+            settings.jobs.entries,
+        ),
+        store,
+        stored_catalogue.StoredCatalogue(),
+        clock=clock,
+    )
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/process/settings.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/process/settings.py
@@ -131,6 +131,29 @@
                 'is_moving_enabled': {'type': 'boolean'},
             },
         },
+        'jobs': {
+            'type': 'object',
+            'additionalProperties': False,
+            'required': ['listen'],
+            'description': 'jobs with steps; without it none are taken',
+            'properties': {
+                'listen': {
+                    **_ADDRESS,
+                    'description': (
+                        'where the agents of job workers and other entries '
+                        'connect'
+                    ),
+                },
+                'entries': {
+                    'type': 'array',
+                    'items': _ADDRESS,
+                    'default': [],
+                    'description': (
+                        "other entries' addresses for jobs, to start from"
+                    ),
+                },
+            },
+        },
         'log_level': {
             'enum': ['debug', 'info', 'warning', 'error'],
             'default': 'info',
@@ -140,6 +163,29 @@
 }
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobSettings:
+    """How an entry serves jobs.
+
+    :param listen: where agents of job workers and other entries connect.
+    :param entries: other entries' addresses for jobs, to start from.
+    """
+
+    listen: identity.Address
+    entries: tuple[identity.Address, ...] = ()
+
+    @classmethod
+    def from_document(cls, document: dict[str, t.Any]) -> 'JobSettings':
+        """Build the settings from a document that keeps to the schema."""
+        return cls(
+            identity.Address.from_text(document['listen']),
+            tuple(
+                identity.Address.from_text(text)
+                for text in document.get('entries', [])
+            ),
+        )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class EntrySettings:
     """Checked settings of one entry."""
@@ -159,6 +205,7 @@
     balancer_notice_ms: int = 1_000
     policy: dict[str, t.Any] = dataclasses.field(default_factory=dict)
     log_level: str = 'info'
+    jobs: JobSettings | None = None
 
     @property
     def advertised_address(self) -> str:
@@ -191,6 +238,8 @@
         """Build settings from a document that keeps to the schema."""
         fields = dict(document)
         limits = http_types.HttpLimits(**fields.pop('limits', {}))
+        if 'jobs' in fields:
+            fields['jobs'] = JobSettings.from_document(fields['jobs'])
         return cls(limits=limits, **fields)
 
     @classmethod
@@ -220,6 +269,11 @@
     for key in ('entries', 'store'):
         for index, text in enumerate(document.get(key, [])):
             texts_by_path[f'$.{key}[{index}]'] = text
+    jobs = document.get('jobs', {})
+    if 'listen' in jobs:
+        texts_by_path['$.jobs.listen'] = jobs['listen']
+    for index, text in enumerate(jobs.get('entries', [])):
+        texts_by_path[f'$.jobs.entries[{index}]'] = text
     return [
         core_settings.Problem(path, f'a port up to {_MAX_PORT}, got {text!r}')
         for path, text in texts_by_path.items()
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/demo/__main__.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/demo/__main__.py
@@ -12,9 +12,12 @@
 from .. import fleet
 from .. import ports
 from . import embedded
+from . import job_part
 from . import jobs
 from . import report as report_module
 
+_JOB_WORKERS = 2
+
 
 def main(
     deployment: str = 'akwaboa',
@@ -43,20 +46,28 @@
     finished = len(report.rows) - len(report.unfinished())
     print(
         f'{deployment}: {finished} of {len(report.rows)} requests finished, '
-        f'{len(violations)} things wrong'
+        f'{report.completed_jobs()} of {len(report.job_rows)} jobs '
+        f'completed, {len(violations)} things wrong'
     )
     sys.exit(1 if violations else 0)
 
 
 async def _run(deployment: deployments.Deployment) -> report_module.Report:
-    plan = fleet.FleetPlan.from_deployment(deployment, ports.PortPool())
+    plan = fleet.FleetPlan.from_deployment(
+        deployment, ports.PortPool(), job_worker_count=_JOB_WORKERS
+    )
     started = await embedded.EmbeddedFleet.start(plan)
     main_job = jobs.MainJob.from_deployment(
         deployment, [entry.callers for entry in plan.entries]
     )
-    rows = await main_job.run()
+    job_callers = job_part.JobCallers(
+        deployment, [entry.callers for entry in plan.entries]
+    )
+    rows, job_rows = await asyncio.gather(
+        main_job.run(), job_callers.run(started.jobs)
+    )
     await started.stop()
-    return report_module.Report(deployment, rows, started.runs())
+    return report_module.Report(deployment, rows, started.runs(), job_rows)
 
 
 if __name__ == '__main__':
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/demo/embedded.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/demo/embedded.py
@@ -14,6 +14,7 @@
 from .. import platform
 from .. import readiness
 from .. import runs
+from . import job_part
 from ..store import server as store_server
 
 _READY_TIMEOUT_MS = 20_000
@@ -40,6 +41,8 @@
         self._entries: list[_ProductProcess] = []
         self._agents: list[_ProductProcess] = []
         self._tasks: list[asyncio.Task[None]] = []
+        #: The part for jobs, once it has started.
+        self.jobs = job_part.EmbeddedJobs()
 
     @classmethod
     async def start(cls, plan: fleet.FleetPlan) -> 'EmbeddedFleet':
@@ -57,10 +60,12 @@
             [agent.place.worker for agent in plan.agents],
             _READY_TIMEOUT_MS,
         )
+        embedded.jobs = await job_part.EmbeddedJobs.start(plan)
         return embedded
 
     async def stop(self) -> None:
         """Stop everything gracefully, agents before entries."""
+        await self.jobs.stop()
         for server in self._backends:
             await server.stop()
         for process in [*self._agents, *self._entries]:
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/demo/report.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/demo/report.py
@@ -3,9 +3,12 @@
 import dataclasses
 import json
 
+from mulberryloom_core.request import jobs as jobs_module
+
 from .. import audit
 from .. import deployments
 from .. import runs
+from . import job_part
 from . import jobs
 
 _HEADINGS = ('kind', 'account', 'method', 'ended', 'waited', 'ran', 'where')
@@ -18,6 +21,7 @@
     deployment: deployments.Deployment
     rows: list[jobs.Row]
     runs: list[runs.Run]
+    job_rows: list[job_part.JobRow] = dataclasses.field(default_factory=list)
 
     def violations(self) -> list[str]:
         """Return everything that was lost, doubled, wrong or in part."""
@@ -30,11 +34,21 @@
             *self.unfinished(),
             *audit.find_violations(evidence),
             *self._find_wrong_gangs(),
+            *(text for row in self.job_rows for text in row.problems()),
         ]
 
+    def completed_jobs(self) -> int:
+        """Return how many jobs were completed."""
+        done = jobs_module.JobState.COMPLETED.value
+        return sum(row.state == done for row in self.job_rows)
+
     def table(self) -> str:
         """Return the table as text, one line for each request."""
-        lines = [_HEADINGS, *(self._cells(row) for row in self.rows)]
+        lines = [
+            _HEADINGS,
+            *(self._cells(row) for row in self.rows),
+            *(_job_cells(row) for row in self.job_rows),
+        ]
         widths = [max(map(len, column)) for column in zip(*lines)]
         return '\n'.join(
             '  '.join(
@@ -103,6 +117,13 @@
         )
 
 
+def _job_cells(row: job_part.JobRow) -> tuple[str, ...]:
+    """Return the cells of a job with steps."""
+    workers = sorted({run.worker for run in row.runs})
+    where = f'{len(row.runs)} runs on {", ".join(workers) or "no worker"}'
+    return ('job', row.account, row.queue, row.state, '-', '-', where)
+
+
 def _place(run: runs.Run) -> str:
     place = run.worker
     if run.positions:
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/fleet.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/fleet.py
@@ -72,6 +72,21 @@
     settings: dict[str, t.Any]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobWorkerPlan:
+    """One worker that runs tasks of jobs, and its agent.
+
+    :param worker: address of the worker for its agent.
+    :param backend_listen: address of the agent for its worker.
+    :param settings: the agent's whole settings document.
+    """
+
+    name: str
+    worker: Address
+    backend_listen: Address
+    settings: dict[str, t.Any]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FleetPlan:
     """Everything that a trial starts."""
@@ -80,6 +95,7 @@
     store: Address
     entries: list[EntryPlan]
     agents: list[AgentPlan]
+    job_workers: list[JobWorkerPlan] = dataclasses.field(default_factory=list)
 
     @classmethod
     def from_deployment(
@@ -89,10 +105,13 @@
         *,
         entry_count: int = 2,
         is_relayed: bool = False,
+        job_worker_count: int = 0,
     ) -> 'FleetPlan':
         """Plan entries in turn over the data centres, and all agents.
 
         :param is_relayed: put a relay in front of each entry.
+        :param job_worker_count: workers for jobs; without any, the entries
+            take no jobs.
         """
         store = pool.take()
         entries = [
@@ -105,7 +124,14 @@
             _plan_agent(deployment, pool, place, advertised)
             for place in deployment.places
         ]
-        return cls(deployment, store, entries, agents)
+        job_workers = []
+        if job_worker_count:
+            job_entries = _plan_job_entries(entries, pool)
+            job_workers = [
+                _plan_job_worker(deployment, pool, number, job_entries)
+                for number in range(1, job_worker_count + 1)
+            ]
+        return cls(deployment, store, entries, agents, job_workers)
 
 
 def _plan_entry(
@@ -142,6 +168,38 @@
         ]
 
 
+def _plan_job_entries(
+    entries: list[EntryPlan], pool: ports.PortPool
+) -> list[str]:
+    """Have the entries take jobs; return their addresses for jobs."""
+    addresses = [str(pool.take()) for _ in entries]
+    for entry, address in zip(entries, addresses, strict=True):
+        others = [other for other in addresses if other != address]
+        entry.settings['jobs'] = {'listen': address, 'entries': others}
+    return addresses
+
+
+def _plan_job_worker(
+    deployment: deployments.Deployment,
+    pool: ports.PortPool,
+    number: int,
+    job_entries: list[str],
+) -> JobWorkerPlan:
+    name = f'jobs-w{number}'
+    worker, backend_listen = pool.take(), pool.take()
+    place = deployment.places[0]
+    settings = deployment.agent_settings(
+        worker=name,
+        data_centre=place.data_centre,
+        rack=place.rack,
+        listen=str(pool.take()),
+        backend_listen=str(backend_listen),
+        entries=job_entries,
+        jobs={'worker': str(worker), 'entries': job_entries},
+    )
+    return JobWorkerPlan(name, worker, backend_listen, settings)
+
+
 def _plan_agent(
     deployment: deployments.Deployment,
     pool: ports.PortPool,
--- /dev/null
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/server.py
@@ -0,0 +1,277 @@
+"""A job worker on loopback, beside one agent; see docs/job-workers.md.
+
+What a task does stands in its job's payload:
+``{"steps": [{"run_ms": 200, "members": 0}]}``, one item for each step;
+``members`` is the size of a gang, which works only while all are there.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import json
+import time
+
+from mulberryloom_agent.connection import job_loopback
+from mulberryloom_agent.jobs import http_worker
+from mulberryloom_agent.jobs import runner
+from mulberryloom_core.connection import http_client
+from mulberryloom_core.connection import http_server
+from mulberryloom_core.connection import http_types
+from mulberryloom_core import identity
+from mulberryloom_core import messages
+from mulberryloom_core.request import jobs
+
+from . import worker as workers
+
+HEARTBEAT_MS = 300
+ADVANCE_MS = 20
+STOP_MS = 100
+_CALL_TIMEOUT_MS = 500
+_MS_PER_S = 1_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobWorkerOffer:
+    """What a job worker announces.
+
+    :param agent: where its agent takes heartbeats.
+    """
+
+    worker: str
+    service: str
+    data_centre: str
+    rack: str
+    agent: identity.Address
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobRun:
+    """One run that has ended, for the audit of a trial."""
+
+    task: str
+    number: int
+    worker: str
+    how: str
+
+
+class GangBoard:
+    """Which members of each gang run, over all workers of a trial."""
+
+    def __init__(self) -> None:
+        self._present: collections.Counter[tuple[str, int]] = (
+            collections.Counter()
+        )
+
+    def note(self, task: str, number: int, change: int) -> None:
+        """Count a member that begins (1) or ends (-1)."""
+        self._present[_gang_of(task), number] += change
+
+    def is_whole(self, task: str, number: int, members: int) -> bool:
+        """Tell whether all members of a run's gang are present."""
+        return self._present[_gang_of(task), number] >= members
+
+
+def _gang_of(task: str) -> str:
+    return task.rpartition('.')[0]
+
+
+class JobWorkerServer:
+    """One job worker; construct it with :meth:`from_offer`.
+
+    :ivar runs: runs that have ended.
+    """
+
+    def __init__(self, offer: JobWorkerOffer, board: GangBoard) -> None:
+        self._offer = offer
+        self._board = board
+        self._payload_by_task: dict[str, str] = {}
+        self.worker = workers.WorkerStandIn(
+            offer.worker, _now_ms(), offer.rack, self._work_of
+        )
+        self.runs: list[JobRun] = []
+        self._told_end = 0
+        self._http = http_server.HttpServer.from_handler(self.respond)
+        self._client = http_client.HttpClient.from_limits()
+        self._address = identity.Address('127.0.0.1', 0)
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @classmethod
+    def from_offer(
+        cls, offer: JobWorkerOffer, board: GangBoard
+    ) -> 'JobWorkerServer':
+        """Build a worker that is not listening yet.
+
+        :param board: shared by all workers of the trial.
+        """
+        return cls(offer, board)
+
+    async def listen(self, address: identity.Address) -> identity.Address:
+        """Take calls, work, and send heartbeats."""
+        self._address = await self._http.listen(address)
+        self._tasks = [
+            asyncio.create_task(self._work()),
+            asyncio.create_task(self._send_heartbeats()),
+        ]
+        return self._address
+
+    async def stop(self) -> None:
+        """Stop at once; what runs is lost."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._http.stop_accepting()
+        await self._client.close()
+
+    def _work_of(self, task: str) -> workers.Work:
+        """Return what a task does, from its job's payload."""
+        parsed = jobs.parse_task_name(task)
+        assert parsed is not None
+        payload = json.loads(self._payload_by_task[task])
+        item = payload['steps'][parsed[1].step]
+        members = item.get('members', 0)
+        step = jobs.Step(max(1, members), is_gang=members > 0)
+        return workers.Work(step, item['run_ms'])
+
+    def _is_whole(self, run: workers.WorkerRun) -> bool:
+        if not run.work.step.is_gang:
+            return True
+        members = run.work.step.tasks
+        return self._board.is_whole(run.task, run.number, members)
+
+    async def _work(self) -> None:
+        last_ms = _now_ms()
+        while True:
+            await asyncio.sleep(ADVANCE_MS / _MS_PER_S)
+            now_ms = _now_ms()
+            self.worker.advance(
+                now_ms, now_ms - last_ms, STOP_MS, self._is_whole
+            )
+            last_ms = now_ms
+            self._note_ends()
+
+    def _note_ends(self) -> None:
+        for end in self.worker.ends:
+            if end.sequence <= self._told_end:
+                continue
+            self._told_end = end.sequence
+            self._board.note(end.task, end.run_number, -1)
+            self.runs.append(
+                JobRun(end.task, end.run_number, self._offer.worker, end.how)
+            )
+
+    async def _send_heartbeats(self) -> None:
+        while True:
+            body = self._heartbeat()
+            path = f'{job_loopback.PATH}{self._offer.worker}'
+            request = http_types.HttpRequest('PUT', path, body=body)
+            await self._client.call(
+                self._offer.agent, request, _CALL_TIMEOUT_MS
+            )
+            await asyncio.sleep(HEARTBEAT_MS / _MS_PER_S)
+
+    def _heartbeat(self) -> bytes:
+        info = self.worker.info()
+        document = {
+            'boot_ms': info.boot,
+            'sequence': info.sequence,
+            'service': self._offer.service,
+            'address': str(self._address),
+            'data_centre': self._offer.data_centre,
+            'rack': self._offer.rack,
+            'labels': [self._offer.rack],
+            'processors': info.cpu_millis / 1_000,
+            'memory_mb': info.memory_mb,
+            'accelerators': info.accelerators,
+            'is_draining': info.is_draining,
+        }
+        return json.dumps(document).encode()
+
+    async def respond(
+        self, request: http_types.HttpRequest
+    ) -> http_types.HttpResponse:
+        """Answer one call of the agent."""
+        named = request.headers_by_name.get(http_worker.WORKER_HEADER)
+        if named != self._offer.worker:
+            return _reply(421, {'status': runner.CallStatus.OTHER_BOOT.value})
+        body = json.loads(request.body)
+        if request.path == http_worker.HOLD_PATH:
+            return await self._hold(body)
+        if request.path == http_worker.START_PATH:
+            return self._start(body)
+        if request.path == http_worker.STOP_PATH:
+            run = messages.RunRef(body['task'], body['run'])
+            call = runner.StopCall(self._offer.worker, body['generation'], run)
+            return _order_reply(self.worker.stop(call, _now_ms()))
+        return _reply(404, {'status': runner.CallStatus.REJECTED.value})
+
+    async def _hold(self, body: dict) -> http_types.HttpResponse:
+        call = runner.HoldCall(
+            0,
+            self._offer.worker,
+            body['generation'],
+            body['deadline_ms'],
+            body['observed'],
+            body['wait_ms'],
+        )
+        ends = len(self.worker.ends)
+        held = self.worker.hold(call, _now_ms())
+        give_up_ms = _now_ms() + call.wait_ms
+        while len(self.worker.ends) <= ends and _now_ms() < give_up_ms:
+            await asyncio.sleep(ADVANCE_MS / _MS_PER_S)
+        if held.status is runner.CallStatus.DONE:
+            held = self.worker.hold(call, _now_ms())
+        return _reply(
+            200,
+            {
+                'status': held.status.value,
+                'clock_ms': held.clock_ms,
+                'boot_ms': held.boot,
+                'running': [
+                    {
+                        'task': item.task,
+                        'run': item.run_number,
+                        'checkpoint': item.checkpoint,
+                        'progress_percent': item.progress,
+                    }
+                    for item in held.running
+                ],
+                'ended': [
+                    {
+                        'sequence': item.sequence,
+                        'task': item.task,
+                        'run': item.run_number,
+                        'how': item.how,
+                        'checkpoint': item.checkpoint,
+                    }
+                    for item in held.ended
+                ],
+            },
+        )
+
+    def _start(self, body: dict) -> http_types.HttpResponse:
+        task, number = body['task'], body['run']
+        self._payload_by_task[task] = body['payload']
+        start = messages.StartRun(
+            task, number, body['payload'], body['checkpoint']
+        )
+        call = runner.StartCall(
+            self._offer.worker, body['generation'], body['deadline_ms'], start
+        )
+        is_present = task in self.worker.run_by_task
+        reply = self.worker.start(call, _now_ms())
+        if task in self.worker.run_by_task and not is_present:
+            self._board.note(task, number, 1)
+        return _order_reply(reply)
+
+
+def _order_reply(reply: runner.CallReply) -> http_types.HttpResponse:
+    document = {'status': reply.status.value, 'clock_ms': reply.clock_ms}
+    return _reply(200, document)
+
+
+def _reply(status: int, document: dict) -> http_types.HttpResponse:
+    return http_types.HttpResponse(status, body=json.dumps(document).encode())
+
+
+def _now_ms() -> int:
+    return time.time_ns() // 1_000_000
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/reference.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/reference.py
@@ -61,6 +61,8 @@
 #: by name.
 _MEANING_BY_NAME = {
     'racks.NAME.worker': 'size of each of its workers',
+    'jobs.worker': 'where the job worker takes calls',
+    'jobs.entries': "entries' addresses for jobs, to start from",
     'worker': 'name of the worker',
     'data_centre': 'data centre that it is in',
     'rack': 'rack that it is in',
--- /dev/null
+++ b/packages/mulberryloom-standins/tests/test_own_jobs.py
@@ -0,0 +1,32 @@
+"""Jobs with steps over the product's own interfaces, end to end."""
+
+import asyncio
+import pathlib
+
+from mulberryloom_standins.demo import embedded
+from mulberryloom_standins.demo import job_part
+from mulberryloom_standins import deployments
+from mulberryloom_standins import fleet
+from mulberryloom_standins import ports
+
+EXAMPLE = pathlib.Path(__file__).parents[3] / 'examples' / 'akwaboa'
+
+
+async def _run():
+    deployment = deployments.Deployment.from_directory(EXAMPLE)
+    plan = fleet.FleetPlan.from_deployment(
+        deployment, ports.PortPool(), job_worker_count=2
+    )
+    del plan.agents[1:]
+    started = await embedded.EmbeddedFleet.start(plan)
+    callers = job_part.JobCallers(
+        deployment, [entry.callers for entry in plan.entries]
+    )
+    rows = await callers.run(started.jobs)
+    await started.stop()
+    return rows
+
+
+def test_steps_and_gangs_run_once_and_whole():
+    rows = asyncio.run(_run())
+    assert [text for row in rows for text in row.problems()] == []
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -154,7 +154,9 @@
 
 async def _run_all() -> list[str]:
     deployment = deployments.Deployment.from_directory(EXAMPLE)
-    plan = fleet.FleetPlan.from_deployment(deployment, ports.PortPool())
+    plan = fleet.FleetPlan.from_deployment(
+        deployment, ports.PortPool(), job_worker_count=1
+    )
     entry, agent = plan.entries[0], plan.agents[0]
     (EXAMPLE / 'agent.json').write_text(json.dumps(agent.settings))
     trial = _Trial(
