Promise room only once in a planning round

Change: a worker counts what is promised in a round, and imagines itself without it. Ruled out: to put planned runs into the worker's runs at once; kept room has no runs. Tests: three in test_job_planner.py, all fail on the source before.

--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
@@ -123,7 +123,7 @@
         waiting_jobs = list(open_jobs)
         self._estimator.learn(waiting_jobs)
         for worker in workers:
-            worker.recount()
+            worker.begin_round()
         entitled_ids = _entitled(waiting_jobs, catalogue)
         current = _Round(workers, catalogue, now_ms, wall_ms, entitled_ids)
         for run, reason in self._evacuation.leaving(workers, now_ms):
@@ -299,7 +299,7 @@
         task: jobs.Task,
         worker: WorkerRoom,
     ) -> None:
-        worker.take(waiting.step)
+        worker.promise(waiting.step)
         current.plan.starts.append(Start(waiting.job, task, worker))
 
     # What does not fit
@@ -440,7 +440,7 @@
         step: jobs.Step, tasks_by_worker: dict[str, int], current: _Round
     ) -> None:
         for worker in current.workers:
-            worker.take(step, tasks_by_worker.get(worker.worker, 0))
+            worker.promise(step, tasks_by_worker.get(worker.worker, 0))
 
 
 class _Lifted:
@@ -464,7 +464,7 @@
         for reservation in self._lifted:
             for worker in self._current.workers:
                 tasks = reservation.tasks_by_worker.get(worker.worker, 0)
-                worker.take(reservation.step, sign * tasks)
+                worker.promise(reservation.step, sign * tasks)
 
 
 def service_of(job: jobs.Job, catalogue: catalogues.Catalogue) -> str:
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/room.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/room.py
@@ -64,6 +64,9 @@
     :param run_by_key: runs that take room, also those being stopped.
     :param suspect_until_ms: until when it gets no new work, after failures.
     :param successes: runs that ended well since the last failure.
+    :param promised_cpu: room given away in this planning round, to tasks
+        that start and to those that it is kept for, in thousandths of a
+        core; likewise the other two.
     """
 
     worker: str
@@ -87,6 +90,27 @@
     suspect_until_ms: int = 0
     successes: int = 0
     failures: int = 0
+    promised_cpu: int = 0
+    promised_memory: int = 0
+    promised_accelerators: int = 0
+
+    def begin_round(self) -> None:
+        """Work out the free room, with nothing promised."""
+        self.promised_cpu = 0
+        self.promised_memory = 0
+        self.promised_accelerators = 0
+        self.recount()
+
+    def promise(self, step: jobs.Step, count: int = 1) -> None:
+        """Give room away for the rest of a planning round.
+
+        :param count: tasks of the step; negative to take it back.
+        """
+        if not step.is_filler:
+            self.promised_cpu += step.cpu_millis * count
+        self.promised_memory += step.memory_mb * count
+        self.promised_accelerators += step.accelerators * count
+        self.take(step, count)
 
     def recount(self) -> None:
         """Work out the free room from the runs."""
@@ -99,7 +123,8 @@
     def imagine_without(self, gone: t.Container[RunKey]) -> 'WorkerRoom':
         """Return this worker as it will be when some runs have ended.
 
-        Runs that are being stopped are left out too.
+        Runs that are being stopped are left out too; what is promised is
+        not free.
         """
         room = dataclasses.replace(
             self,
@@ -110,6 +135,9 @@
             },
         )
         room.recount()
+        room.free_cpu -= self.promised_cpu
+        room.free_memory -= self.promised_memory
+        room.free_accelerators -= self.promised_accelerators
         return room
 
     def take(self, step: jobs.Step, count: int = 1) -> None:
@@ -119,10 +147,6 @@
         self.free_memory -= step.memory_mb * count
         self.free_accelerators -= step.accelerators * count
 
-    def give_back(self, step: jobs.Step, count: int = 1) -> None:
-        """Count tasks of a step as gone."""
-        self.take(step, -count)
-
     def fitting(self, step: jobs.Step) -> int:
         """Return how many tasks of a step fit into the free room."""
         return _fitting(
--- a/packages/mulberryloom-policy/tests/test_job_planner.py
+++ b/packages/mulberryloom-policy/tests/test_job_planner.py
@@ -206,6 +206,43 @@
     assert stopped == 16
 
 
+def test_two_urgent_jobs_at_once_clear_a_worker_each():
+    region = Region([_worker(1), _worker(2)])
+    region.submit(_step(2, 8), priority=2)
+    region.round()
+    first = region.submit(_step(1, 8), priority=0)
+    second = region.submit(_step(1, 8), priority=0)
+    plan = region.round(100)
+    assert len(plan.stops) == 2
+    region.end_stopped()
+    region.round(500)
+    assert len(region.runs(first)) == len(region.runs(second)) == 1
+
+
+def test_tasks_of_one_urgent_job_do_not_clear_the_same_room():
+    region = Region([_worker(1), _worker(2)])
+    other = region.submit(_step(1, 8), priority=2)
+    region.round()
+    region.submit(_step(2, 8), priority=0)
+    plan = region.round(100)
+    assert len(plan.starts) == 1
+    assert [stop.run.job for stop in plan.stops] == [other]
+
+
+def test_room_is_not_kept_for_two_at_once():
+    """Each large task has room kept on a worker of its own."""
+    region = Region([_worker(1), _worker(2)])
+    for worker, estimate_ms in zip(region.workers, (3_000, 4_000)):
+        job = region.submit(_step(1, 1, estimate_ms=estimate_ms))
+        region.start(job, next(iter(job.task_by_key.values())), worker)
+    for _ in range(2):
+        region.submit(_step(1, 8))
+    region.round(100)
+    small = region.submit(_step(1, 1, estimate_ms=60_000))
+    region.round(100)
+    assert not region.runs(small)
+
+
 def test_urgent_job_beyond_the_guarantee_throws_little_away():
     region = Region([_worker(index) for index in range(4)])
     region.submit(_step(32, 1, estimate_ms=20_000))
