--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/term.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/term.py
@@ -21,6 +21,9 @@
 WRITE_RETRY_PAUSE_MS = 100
 #: How old a confirmation of the leadership may be before it is renewed.
 CONFIRM_MS = 900
+#: How many times longer than a plan the pause after it is, so that a large
+#: fleet leaves the processor to the orders and to the other tasks.
+PLAN_REST_FACTOR = 3
 #: Age that a confirmation by the other entries has at most.
 PEER_CONFIRMATION_AGE_MS = 1_050
 _MS_PER_S = 1_000
@@ -63,6 +66,7 @@
         self._store = job_store
         self._clock = clock
         self._revision = revision
+        self._rest_until_ms = 0
         self._news = asyncio.Event()
         self._writes_due = asyncio.Event()
 
@@ -97,11 +101,8 @@
         while not leader.is_deposed:
             now_ms, wall_ms = self._clock.now_ms(), self._clock.wall_ms()
             leader.tick(now_ms, wall_ms)
-            try:
-                leader.plan(now_ms, wall_ms)
-            except Exception:
-                # What runs is still looked after when planning fails.
-                _log.exception('plan failed')
+            if now_ms >= self._rest_until_ms:
+                self._plan(now_ms, wall_ms)
             self._writes_due.set()
             for node, orders in leader.take_orders(now_ms):
                 self._owner.send_orders(node, orders)
@@ -112,6 +113,15 @@
                 pass
             self._news.clear()
 
+    def _plan(self, now_ms: int, wall_ms: int) -> None:
+        try:
+            self.leader.plan(now_ms, wall_ms)
+        except Exception:
+            # What runs is still looked after when planning fails.
+            _log.exception('plan failed')
+        spent_ms = self._clock.now_ms() - now_ms
+        self._rest_until_ms = now_ms + spent_ms * (1 + PLAN_REST_FACTOR)
+
     async def _write_records(self) -> None:
         """Write one batch after the other, each until it is settled."""
         leader = self.leader
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
@@ -121,13 +121,14 @@
         :param open_jobs: jobs that are not final.
         """
         waiting_jobs = list(open_jobs)
-        self._estimator.learn(waiting_jobs)
+        self._estimator.begin_round(waiting_jobs)
         for worker in workers:
             worker.begin_round()
         entitled_ids = _entitled(waiting_jobs, catalogue)
         current = _Round(workers, catalogue, now_ms, wall_ms, entitled_ids)
         for run, reason in self._evacuation.leaving(workers, now_ms):
             current.plan.stops.append(Stop(run, reason))
+        self._reclaimer.begin_round(stop.run for stop in current.plan.stops)
         waiting_jobs.sort(key=lambda job: self._turn(job, current))
         seen: dict[tuple[str, int, int], int] = {}
         for job in waiting_jobs:
@@ -364,6 +365,7 @@
         elif spent > self._gain(job, natural, current):
             return False
         self._spent_by_job[job.job_id] = spent
+        self._reclaimer.accept(clearance)
         reason = f'reclaimed for {job.job_id}'
         current.plan.stops += [Stop(run, reason) for run in clearance.victims]
         self._keep(waiting.step, clearance.tasks_by_worker, current)
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/reclaim.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/reclaim.py
@@ -38,6 +38,22 @@
     ) -> None:
         self._options = options
         self._estimator = estimator
+        self._ending: set[RunKey] = set()
+        self._cost_by_key: dict[RunKey, float] = {}
+        self._candidates_by_worker: dict[str, list[ActiveRun]] = {}
+
+    def begin_round(self, ending: t.Iterable[ActiveRun]) -> None:
+        """Forget what was worked out for an earlier time.
+
+        :param ending: runs that this round stops anyway.
+        """
+        self._ending = {run.key for run in ending}
+        self._cost_by_key.clear()
+        self._candidates_by_worker.clear()
+
+    def accept(self, clearance: Clearance) -> None:
+        """Count the victims of a clearance as ending from now on."""
+        self._ending.update(run.key for run in clearance.victims)
 
     def find(
         self,
@@ -110,27 +126,45 @@
         Each place names the runs that stop in addition to those of the
         places before it.
         """
-        candidates = [
-            run
-            for run in worker.run_by_key.values()
-            if not run.is_stopping and _may_stop(run, job)
-        ]
-        candidates.sort(key=lambda run: self._density(run, now_ms, wall_ms))
-        gone: set[RunKey] = set()
+        room = worker.free_room()
+        for run in worker.run_by_key.values():
+            if self._is_ending(run):
+                room.add(run.step)
         slots: list[tuple[float, str, list[ActiveRun]]] = []
+        slots += [(0.0, worker.worker, [])] * room.fitting(step)
         pending: list[ActiveRun] = []
         cost = 0.0
-        while True:
-            fits = worker.imagine_without(gone).fitting(step)
-            while len(slots) < fits:
+        for victim in self._candidates(worker, now_ms, wall_ms):
+            if len(slots) >= step.tasks:
+                break
+            if self._is_ending(victim) or not _may_stop(victim, job):
+                continue
+            room.add(victim.step)
+            pending.append(victim)
+            cost += self._cost(victim, now_ms, wall_ms)
+            fits = room.fitting(step)
+            if fits > len(slots):
+                # The first of these places bears the cost of all.
                 slots.append((cost, worker.worker, pending))
+                slots += [(cost, worker.worker, [])] * (fits - len(slots))
                 pending = []
-            if not candidates or len(slots) >= step.tasks:
-                return slots
-            victim = candidates.pop(0)
-            gone.add(victim.key)
-            pending = [*pending, victim]
-            cost += self._cost(victim, now_ms, wall_ms)
+        return slots
+
+    def _is_ending(self, run: ActiveRun) -> bool:
+        return run.is_stopping or run.key in self._ending
+
+    def _candidates(
+        self, worker: WorkerRoom, now_ms: int, wall_ms: int
+    ) -> list[ActiveRun]:
+        """Return a worker's runs, those that lose least first."""
+        known = self._candidates_by_worker.get(worker.worker)
+        if known is None:
+            known = sorted(
+                (run for run in worker.run_by_key.values()),
+                key=lambda run: self._density(run, now_ms, wall_ms),
+            )
+            self._candidates_by_worker[worker.worker] = known
+        return known
 
     def _density(self, run: ActiveRun, now_ms: int, wall_ms: int) -> float:
         """Return the cost of stopping a run for the room that it gives."""
@@ -139,6 +173,15 @@
 
     def _cost(self, run: ActiveRun, now_ms: int, wall_ms: int) -> float:
         """Return the worth that is lost when a run stops."""
+        known = self._cost_by_key.get(run.key)
+        if known is None:
+            known = self._work_out_cost(run, now_ms, wall_ms)
+            self._cost_by_key[run.key] = known
+        return known
+
+    def _work_out_cost(
+        self, run: ActiveRun, now_ms: int, wall_ms: int
+    ) -> float:
         options = self._options
         lost = worth.lost_core_seconds(run, now_ms, options)
         members = 1
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/reservation.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/reservation.py
@@ -5,7 +5,6 @@
 from mulberryloom_core.request import jobs
 
 from . import worth
-from .room import RunKey
 from .room import WorkerRoom
 
 
@@ -78,16 +77,16 @@
         self, step: jobs.Step, worker: WorkerRoom, now_ms: int
     ) -> list[tuple[int, str]]:
         """Return when each place for one task on a worker is free."""
+        room = worker.free_room()
+        slots = [(now_ms, worker.worker)] * room.fitting(step)
         ends = sorted(
-            (now_ms + self._estimator.run_left_ms(run, now_ms), run.key)
-            for run in worker.run_by_key.values()
+            (now_ms + self._estimator.run_left_ms(run, now_ms), key)
+            for key, run in worker.run_by_key.items()
         )
-        slots = [(now_ms, worker.worker)] * worker.fitting(step)
-        gone: set[RunKey] = set()
         for end_ms, key in ends:
             if len(slots) >= step.tasks:
                 break
-            gone.add(key)
-            fits = worker.imagine_without(gone).fitting(step)
+            room.add(worker.run_by_key[key].step)
+            fits = room.fitting(step)
             slots += [(end_ms, worker.worker)] * (fits - len(slots))
         return slots
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/room.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/room.py
@@ -55,6 +55,30 @@
         return self.name, self.run.number
 
 
+@dataclasses.dataclass(slots=True)
+class FreeRoom:
+    """Free room of a worker, as it is or as it will be.
+
+    :param cpu: thousandths of a core; below zero where more was given
+        away than there is. Likewise the other two.
+    """
+
+    cpu: int
+    memory: int
+    accelerators: int
+
+    def add(self, step: jobs.Step) -> None:
+        """Count a task of a step as gone."""
+        if not step.is_filler:
+            self.cpu += step.cpu_millis
+        self.memory += step.memory_mb
+        self.accelerators += step.accelerators
+
+    def fitting(self, step: jobs.Step) -> int:
+        """Return how many tasks of a step fit."""
+        return _fitting(step, self.cpu, self.memory, self.accelerators)
+
+
 @dataclasses.dataclass(slots=True)
 class WorkerRoom:
     """One life of a worker.
@@ -120,25 +144,11 @@
         for run in self.run_by_key.values():
             self.take(run.step)
 
-    def imagine_without(self, gone: t.Container[RunKey]) -> 'WorkerRoom':
-        """Return this worker as it will be when some runs have ended.
-
-        Runs that are being stopped are left out too; what is promised is
-        not free.
-        """
-        room = dataclasses.replace(
-            self,
-            run_by_key={
-                key: run
-                for key, run in self.run_by_key.items()
-                if key not in gone and not run.is_stopping
-            },
+    def free_room(self) -> FreeRoom:
+        """Return what is free and not promised."""
+        return FreeRoom(
+            self.free_cpu, self.free_memory, self.free_accelerators
         )
-        room.recount()
-        room.free_cpu -= self.promised_cpu
-        room.free_memory -= self.promised_memory
-        room.free_accelerators -= self.promised_accelerators
-        return room
 
     def take(self, step: jobs.Step, count: int = 1) -> None:
         """Count tasks of a step as present."""
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/worth.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/worth.py
@@ -66,9 +66,14 @@
         self._options = options
         self._work_by_id: dict[str, float] = {}
         self._mean_by_queue: dict[str, tuple[float, int]] = {}
+        self._prospect_by_id: dict[str, Prospect] = {}
 
-    def learn(self, open_jobs: t.Iterable[jobs.Job]) -> None:
-        """Take the sizes of jobs into the mean of their queues."""
+    def begin_round(self, open_jobs: t.Iterable[jobs.Job]) -> None:
+        """Take the sizes of jobs into the mean of their queues.
+
+        Prospects are worked out once in each round.
+        """
+        self._prospect_by_id.clear()
         work_by_id = {}
         for job in open_jobs:
             work = self._work_by_id.get(job.job_id)
@@ -111,6 +116,8 @@
 
         Progress goes before the declared duration once there is some.
         """
+        if run.is_stopping:
+            return self._options.stop_grace_ms
         elapsed_ms = max(0, now_ms - run.started_ms)
         if run.progress >= self._options.trusted_progress:
             return elapsed_ms * (100 - run.progress) // run.progress
@@ -140,14 +147,19 @@
 
     def prospect(self, job: jobs.Job) -> Prospect:
         """Return the times that matter to a job's caller."""
+        known = self._prospect_by_id.get(job.job_id)
+        if known is not None:
+            return known
         target_ms = int(
             job.terms.stretch * self.chain_ms(job) + job.terms.slack_ms
         )
-        return Prospect(
+        made = Prospect(
             self.remaining_ms(job),
             job.accepted_ms + target_ms,
             job.accepted_ms + _LATE_FACTOR * target_ms,
         )
+        self._prospect_by_id[job.job_id] = made
+        return made
 
 
 def cores(step: jobs.Step, options: PlanOptions) -> float:
