Do not abort a connection that has closed

Change: a closed link has no transport to abort. Test: test_a_closed_connection_is_not_closed_again fails on the source before, passes now.

--- a/packages/mulberryloom-core/src/mulberryloom_core/connection/node.py
+++ b/packages/mulberryloom-core/src/mulberryloom_core/connection/node.py
@@ -51,6 +51,15 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._node._on_closed(self)
+        self.transport = None
+
+    def abort(self) -> None:
+        """Drop the connection with what is still to be written.
+
+        A transport that is closed already cannot be aborted.
+        """
+        if self.transport is not None:
+            self.transport.abort()
 
     def settle(self, name: outputs.PeerName | None) -> None:
         """Say who the peer is, or that the handshake failed."""
@@ -300,7 +309,7 @@
             )
         link.transport.close()
         asyncio.get_running_loop().call_later(
-            self._options.close_ms / 1_000, link.transport.abort
+            self._options.close_ms / 1_000, link.abort
         )
         link.settle(None)
         self._note_closed()
--- a/packages/mulberryloom-core/tests/test_node.py
+++ b/packages/mulberryloom-core/tests/test_node.py
@@ -127,3 +127,25 @@
         await entry.close()
 
     asyncio.run(scenario())
+
+
+def test_a_closed_connection_is_not_closed_again():
+    """What ends it by force after a while finds that it has ended."""
+    problems = []
+
+    async def scenario():
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, found: problems.append(found))
+        entry, agent = make_node(ENTRY), make_node(AGENT)
+        address = await entry.listen(ANY_PORT)
+        agent.connect(address)
+        assert await next_event(entry) == effects.PeerConnected(AGENT)
+        assert await next_event(agent) == effects.PeerConnected(ENTRY)
+        agent.disconnect(address)
+        assert await next_event(entry) == effects.PeerLost(AGENT)
+        await asyncio.sleep(OPTIONS.close_ms / 1_000 + 0.3)
+        await agent.close()
+        await entry.close()
+
+    asyncio.run(scenario())
+    assert problems == []
