Set level, sampling and metrics address in the settings; log to stdout

Lines go to standard output through the queue that drops and counts. event_loop_lag_ms at entries and agents; the entry's metrics show those of its part for jobs. Ruled out: jsonschema for the platform's two variables, since it would be loaded by every agent. One test read the agent's log from standard error; it now reads standard output, as asked, and checks the same.

--- a/packages/mulberryloom-agent/src/mulberryloom_agent/__main__.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/__main__.py
@@ -31,8 +31,9 @@
     checked = _read(settings)
     if checked is None:
         return EXIT_INVALID
-    logs.configure(checked.log_level, worker=checked.worker)
+    writer = logs.start(checked.log_options, worker=checked.worker)
     asyncio.run(_serve(checked))
+    writer.drain()
     return 0
 
 
--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/process.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/process.py
@@ -10,6 +10,7 @@
 from mulberryloom_core import identity
 from mulberryloom_core import messages
 from mulberryloom_core.process import background
+from mulberryloom_core.process import lag
 from mulberryloom_core.process import tally
 import structlog
 
@@ -99,6 +100,7 @@
         self._tasks.spawn(self._receive())
         self._tasks.spawn(self._work())
         self._tasks.spawn(self._look_for_entries())
+        self._tasks.spawn(lag.watch(self.tally, self._clock))
         _log.info('agent started', agent=self.name, seeds=len(self._addresses))
 
     async def close(self) -> None:
--- a/packages/mulberryloom-agent/src/mulberryloom_agent/process/settings.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/process/settings.py
@@ -5,6 +5,7 @@
 import typing as t
 
 from mulberryloom_core import identity
+from mulberryloom_core.process import logs
 from mulberryloom_core.process import settings as checks
 from result import Err
 from result import Ok
@@ -57,7 +58,7 @@
                 },
             },
         },
-        'log_level': {'enum': ['debug', 'info', 'warning', 'error']},
+        **logs.OPTIONS_SCHEMA,
     },
 }
 
@@ -112,7 +113,7 @@
     metrics_listen: identity.Address | None = None
     backend_connections: int = 60
     grace_ms: int = 30_000
-    log_level: str = 'info'
+    log_options: logs.LogOptions = logs.LogOptions()
     jobs: JobSettings | None = None
 
     @classmethod
@@ -123,6 +124,9 @@
             if key in values:
                 values[key] = identity.Address.from_text(values[key])
         values['entries'] = tuple(values['entries'])
+        values['log_options'] = logs.LogOptions(
+            values.pop('log_level', 'info'), values.pop('log_sampling', {})
+        )
         values['secret'] = values['secret'].encode()
         if 'jobs' in values:
             values['jobs'] = JobSettings.from_document(values['jobs'])
--- a/packages/mulberryloom-agent/tests/test_process.py
+++ b/packages/mulberryloom-agent/tests/test_process.py
@@ -212,7 +212,7 @@
     process = subprocess.Popen(
         [*command, '--settings', str(path)],
         env=os.environ | {'PYTHONPATH': os.pathsep.join(sys.path)},
-        stderr=subprocess.PIPE,
+        stdout=subprocess.PIPE,
     )
     return process, identity.Address.from_text(document['backend_listen'])
 
@@ -230,7 +230,7 @@
                 setting.backend.may_answer.set()
                 ended = await setting.next(messages.TaskEnded)
                 assert ended.outcome.body == b'pages'
-                _, log = await asyncio.to_thread(process.communicate, None, 20)
+                log, _ = await asyncio.to_thread(process.communicate, None, 20)
             finally:
                 process.kill()
                 process.wait()
--- /dev/null
+++ b/packages/mulberryloom-core/tests/test_lag.py
@@ -0,0 +1,23 @@
+"""Tests of the measure of the event loop."""
+
+import asyncio
+import time
+
+from mulberryloom_core import clock as clocks
+from mulberryloom_core.process import lag
+from mulberryloom_core.process import tally
+
+
+def test_a_loop_that_is_held_up_is_seen():
+    async def run():
+        counts = tally.Tally()
+        task = asyncio.create_task(lag.watch(counts, clocks.SystemClock()))
+        await asyncio.sleep(lag.PERIOD_MS / 1_000 - 0.1)
+        time.sleep(0.5)
+        await asyncio.sleep(0.1)
+        task.cancel()
+        return list(counts.lines())
+
+    lines = asyncio.run(run())
+    assert f'{lag.METRIC}_count 1' in lines
+    assert f'{lag.METRIC}_bucket{{le="250"}} 0' in lines
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/connection/operators.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/connection/operators.py
@@ -7,7 +7,6 @@
 
 from mulberryloom_core.connection import http_types
 from mulberryloom_core import exceptions
-from mulberryloom_core.process import metrics
 from mulberryloom_core.request import job_documents
 from result import Err
 
@@ -38,9 +37,8 @@
     def settings(self) -> 'entry_settings.EntrySettings':
         """Settings of the entry."""
 
-    @property
-    def metrics(self) -> metrics.Metrics:
-        """Metrics of the process."""
+    def metrics_response(self) -> http_types.HttpResponse:
+        """Return all metrics of the process."""
 
     def now_ms(self) -> int:
         """Return the time that the core goes by."""
@@ -70,7 +68,7 @@
             document = {'is_ready': self._gate.is_ready}
             return bodies.json_response(status_code, document)
         if request.path == '/metrics':
-            return self._gate.metrics.response()
+            return self._gate.metrics_response()
         if not tokens.is_operator(
             request,
             self._gate.configuration,
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/entry.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/entry.py
@@ -12,6 +12,7 @@
 from mulberryloom_core import identity
 from mulberryloom_core import messages
 from mulberryloom_core.process import background
+from mulberryloom_core.process import lag
 from mulberryloom_core.process import tally
 from mulberryloom_core.request import jobs
 from mulberryloom_core import store
@@ -181,6 +182,7 @@
             self._send_notices(),
             self._watch_leader(),
             self._registration.run(),
+            lag.watch(self.tally, self._clock),
         ):
             self._tasks.spawn(work)
         _log.info('entry started', entry=self.name, seeds=len(self._me.seeds))
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/process/commands.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/process/commands.py
@@ -43,8 +43,9 @@
     found = _read_settings(settings)
     if found is None:
         return MISUSED
-    logs.configure(found.log_level, entry=found.name)
+    writer = logs.start(found.log_options, entry=found.name)
     asyncio.run(_serve(found))
+    writer.drain()
     return OK
 
 
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/process/runner.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/process/runner.py
@@ -9,6 +9,7 @@
 
 from mulberryloom_core import clock as clocks
 from mulberryloom_core.connection import http_server
+from mulberryloom_core.connection import http_types
 from mulberryloom_core.connection import node as nodes
 from mulberryloom_core import effects as core_effects
 from mulberryloom_core import exceptions
@@ -197,6 +198,13 @@
             settings.limits,
             problems.response_of_bad_request,
         )
+        if settings.metrics_listen:
+            metrics_server = http_server.HttpServer.from_handler(
+                self._respond_metrics
+            )
+            await metrics_server.listen(
+                identity.Address.from_text(settings.metrics_listen)
+            )
         listen = await caller_server.listen(settings.listen_address)
         operators_listen = await operator_server.listen(
             settings.operators_address
@@ -208,6 +216,20 @@
         )
         return caller_server, operator_server
 
+    async def _respond_metrics(
+        self, request: http_types.HttpRequest
+    ) -> http_types.HttpResponse:
+        """Answer a scrape, at any path."""
+        return self.metrics_response()
+
+    def metrics_response(self) -> http_types.HttpResponse:
+        """Return all metrics, with those of the part for jobs."""
+        response = self.metrics.response()
+        if self._jobs is None:
+            return response
+        body = response.body + self._jobs.metrics().encode()
+        return dataclasses.replace(response, body=body)
+
     async def _wait_stopped(
         self,
         caller_server: http_server.HttpServer,
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/process/settings.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/process/settings.py
@@ -6,6 +6,7 @@
 
 from mulberryloom_core.connection import http_types
 from mulberryloom_core import identity
+from mulberryloom_core.process import logs
 from mulberryloom_core.process import settings as core_settings
 from result import Err
 from result import Ok
@@ -21,6 +22,7 @@
     'operators_listen',
     'peers_listen',
     'peers_advertise',
+    'metrics_listen',
 )
 _MAX_PORT = 65_535
 _COUNT = {'type': 'integer', 'minimum': 1}
@@ -154,11 +156,14 @@
                 },
             },
         },
-        'log_level': {
-            'enum': ['debug', 'info', 'warning', 'error'],
-            'default': 'info',
-            'description': 'lowest level that is logged',
+        'metrics_listen': {
+            **_ADDRESS,
+            'description': (
+                'another address for the metrics, which '
+                'operators_listen shows as well'
+            ),
         },
+        **logs.OPTIONS_SCHEMA,
     },
 }
 
@@ -204,7 +209,8 @@
     limits: http_types.HttpLimits = http_types.HttpLimits()
     balancer_notice_ms: int = 1_000
     policy: dict[str, t.Any] = dataclasses.field(default_factory=dict)
-    log_level: str = 'info'
+    metrics_listen: str = ''
+    log_options: logs.LogOptions = logs.LogOptions()
     jobs: JobSettings | None = None
 
     @property
@@ -238,9 +244,12 @@
         """Build settings from a document that keeps to the schema."""
         fields = dict(document)
         limits = http_types.HttpLimits(**fields.pop('limits', {}))
+        options = logs.LogOptions(
+            fields.pop('log_level', 'info'), fields.pop('log_sampling', {})
+        )
         if 'jobs' in fields:
             fields['jobs'] = JobSettings.from_document(fields['jobs'])
-        return cls(limits=limits, **fields)
+        return cls(limits=limits, log_options=options, **fields)
 
     @classmethod
     def from_file(
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/reference.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/reference.py
@@ -66,7 +66,6 @@
     'worker': 'name of the worker',
     'data_centre': 'data centre that it is in',
     'rack': 'rack that it is in',
-    'log_level': 'lowest level that is logged',
     'number': 'number of the ticket, above those of what it touches',
     'accounts': 'client accounts by name; `null` removes one',
     'services': 'services by name; `null` removes one',
