Plan on news only, and as soon as a new leader's agents have come

Change: a report causes a plan when it changes what a worker can take, ends a run or brings a worker; plans for what only time makes due stay at 0.5 s. A new leader plans once no agent has come for 150 ms and all workers of its records have; it stops nothing for other work before the 700 ms are over. Ruled out: a shorter wait alone; with half of the agents known, running work would be stopped for lack of room.

--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/fleet.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/fleet.py
@@ -73,11 +73,15 @@
             and not run.sent_sequence
         )
 
-    def update(self, report: messages.WorkerReport, now_ms: int) -> None:
-        """Take over what a report says of the worker itself."""
+    def update(self, report: messages.WorkerReport, now_ms: int) -> bool:
+        """Take over what a report says of the worker itself.
+
+        :return: whether it can take other work than before.
+        """
         room = self.room
         self.reported_ms = now_ms
         self.echo_ms = report.sent_ms
+        before = _capacity(room)
         room.cpu_millis = report.cpu_millis
         room.memory_mb = report.memory_mb
         room.accelerators = report.accelerators
@@ -85,6 +89,7 @@
             room.leaves_ms = now_ms + report.remaining_ms
         room.is_draining = report.is_draining
         room.is_accepting = report.is_alive and not report.is_draining
+        return _capacity(room) != before
 
     def take_orders(
         self, generation: int, sequence: int, now_ms: int, *, is_vouched: bool
@@ -123,6 +128,17 @@
         )
 
 
+def _capacity(room: WorkerRoom) -> tuple[int, int, int, bool, bool]:
+    """Return what a worker has and whether it takes work."""
+    return (
+        room.cpu_millis,
+        room.memory_mb,
+        room.accelerators,
+        room.is_draining,
+        room.is_accepting,
+    )
+
+
 def _start(run: ActiveRun) -> messages.StartRun:
     return messages.StartRun(
         run.name,
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -38,7 +38,10 @@
     :param lease_ms: longest lease of a worker.
     :param margin_ms: reserve for clocks that differ and calls under way.
     :param heartbeat_ms: pause between orders without content.
-    :param gather_ms: wait for agents before the first plan.
+    :param gather_ms: wait for agents before anything is stopped for other
+        work, and before the first plan while agents keep coming.
+    :param settle_ms: time without a new agent after which a plan counts
+        on those that have come.
     :param replan_ms: pause between plans without news, for what only the
         time makes due.
     :param order_life_ms: how long an order without an answer may still be
@@ -53,6 +56,7 @@
     margin_ms: int = 700
     heartbeat_ms: int = 700
     gather_ms: int = 700
+    settle_ms: int = 150
     replan_ms: int = 500
     order_life_ms: int = 15_000
     keep_ms: int = 150_000
@@ -88,6 +92,7 @@
         self._options = options
         self._planner = JobPlanner(options.plan)
         self._since_ms = now_ms
+        self._synced_ms = now_ms
         self._ledger = ledgers.JobLedger(generation)
         self._decisions = decisions.DecisionLog()
         self._link_by_key: dict[fleet.WorkerKey, fleet.WorkerLink] = {}
@@ -231,7 +236,9 @@
         if not report.worker:
             return
         link = self._link(node, report, now_ms)
-        link.update(report, now_ms)
+        if link.update(report, now_ms):
+            link.room.recount()
+            self._needs_plan = True
         if report.generation != self.generation:
             link.is_due = True
             return
@@ -250,7 +257,8 @@
                 running=len(report.running),
                 age_ms=now_ms - self._since_ms,
             )
-        self._needs_plan = True
+            self._synced_ms = now_ms
+            self._needs_plan = True
         self._on_running(link, report, now_ms)
         self._on_ends(link, report, now_ms, wall_ms)
         self._on_absent(link, report)
@@ -675,7 +683,8 @@
         """Decide what starts and stops, if anything has changed."""
         if self.catalogue is None:
             return
-        if now_ms - self._since_ms < self._options.gather_ms:
+        is_gathering = now_ms - self._since_ms < self._options.gather_ms
+        if is_gathering and not self._has_settled(now_ms):
             return
         is_due = now_ms - self._planned_ms >= self._options.replan_ms
         if not self._needs_plan and not is_due:
@@ -688,13 +697,22 @@
         plan = self._planner.plan(
             open_jobs, rooms, self.catalogue, now_ms, wall_ms
         )
-        for stop in plan.stops:
+        # Agents that are still to come may have room.
+        for stop in [] if is_gathering else plan.stops:
             self._stop(stop.run, stop.reason)
             self._stop_gang(stop.run, stop.reason)
         for start in plan.starts:
             self._start(start, now_ms, wall_ms)
         self._note_blocked(plan.blocked)
 
+    def _has_settled(self, now_ms: int) -> bool:
+        """Whether all workers that are known to run tasks have come."""
+        return (
+            bool(self._link_by_key)
+            and not self._orphan_by_key
+            and now_ms - self._synced_ms >= self._options.settle_ms
+        )
+
     def _note_blocked(self, blocked: list[planner.Blocked]) -> None:
         """Log why steps wait, whenever the reason changes."""
         reason_by_step = {
--- a/packages/mulberryloom-entry/tests/test_job_leader.py
+++ b/packages/mulberryloom-entry/tests/test_job_leader.py
@@ -7,6 +7,7 @@
 from mulberryloom_core.version import catalogue as catalogues
 from mulberryloom_entry.jobs import keys
 from mulberryloom_entry.jobs import leader as leaders
+from mulberryloom_policy import jobs as policy
 
 JOB_ID = 'a' * 16
 TASK = f'{JOB_ID}.0.0.0'
@@ -110,6 +111,72 @@
     assert term.started() == [1]
 
 
+def test_a_new_leader_starts_work_once_its_agents_have_come():
+    """It waits for more agents only before it stops anything."""
+    term = Term()
+    began_ms = term.now_ms
+    options = leaders.LeaderOptions()
+    term.leader = leaders.Leader(GENERATION, options, began_ms)
+    term.leader.catalogue = CATALOGUE
+    term.submit()
+    term.report()
+    term.step()
+    assert term.started() == []
+    while not term.started():
+        term.report()
+        term.step()
+    assert term.now_ms - began_ms <= options.settle_ms + 100
+
+
+def test_a_new_leader_stops_nothing_while_agents_may_come():
+    term = Term()
+    options = leaders.LeaderOptions()
+    term.leader = leaders.Leader(GENERATION, options, term.now_ms)
+    term.leader.catalogue = CATALOGUE
+    began_ms = term.now_ms
+    term.submit()
+    for _ in range(6):
+        term.report()
+        term.step()
+    run = term.leader._run_by_key[TASK, 1]
+    plan = term.leader._planner.plan
+
+    def plan_with_stop(*given):
+        made = plan(*given)
+        made.stops.append(policy.planner.Stop(run, 'reclaimed'))
+        return made
+
+    term.leader._planner.plan = plan_with_stop
+    while term.now_ms - began_ms < options.gather_ms - 50:
+        term.leader._needs_plan = True
+        term.report(running=[1], sequence=9)
+        term.step()
+        assert not run.is_stopping
+    for _ in range(3):
+        term.leader._needs_plan = True
+        term.report(running=[1], sequence=9)
+        term.step()
+    assert run.is_stopping
+
+
+def test_reports_without_news_cause_no_plans():
+    """Agents report more than once a second each, whatever happens."""
+    term = _running_term()
+    term.report(running=[1], sequence=1)
+    term.step()
+    rounds = []
+    plan = term.leader._planner.plan
+    term.leader._planner.plan = lambda *given: rounds.append(1) or plan(*given)
+    for _ in range(40):
+        term.report(running=[1], sequence=1)
+        term.step()
+    spent_ms = 40 * 50
+    assert len(rounds) <= spent_ms // leaders.LeaderOptions().replan_ms
+    term.report(running=[1], sequence=1, is_alive=False)
+    term.step()
+    assert len(rounds) > 0
+
+
 def test_orders_are_sent_again_in_a_new_session():
     term = _running_term()
     term.leader.on_session('vm.1')
