Start nothing by orders that others have overtaken

The agent's report in between told the higher number without the run, so that the leader rightly gave the run up and used its room; then the agent took the earlier orders in, and started it. Change: the agent never goes back to a lower number of orders; what was overtaken may stop runs and starts none. Ruled out: the order of delivery in the simulation. A session delivers in order, so that this needs two sessions at once; the agent should not rely on it.

--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/keeper.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/keeper.py
@@ -193,12 +193,20 @@
         if (orders.worker, orders.boot) != _life(self.info):
             self._is_changed = True
             return
-        self._orders_sequence = orders.sequence
+        is_overtaken = orders.sequence <= self._orders_sequence
+        self._orders_sequence = max(self._orders_sequence, orders.sequence)
         if orders.observed > self._observed:
             self._observed = orders.observed
             self._hold_due_ms = now_ms
         expires_ms = orders.echo_ms + self._options.renew_ms
         for start in orders.starts:
+            if is_overtaken:
+                # A report has told since that it is not here, so that the
+                # leader may have given it up.
+                _log.warning(
+                    'start refused', task=start.task, reason='overtaken'
+                )
+                continue
             self._on_start_ordered(start, expires_ms, now_ms)
         for run in orders.stops:
             self._on_stop_ordered(run, now_ms)
--- a/packages/mulberryloom-agent/tests/test_job_keeper.py
+++ b/packages/mulberryloom-agent/tests/test_job_keeper.py
@@ -81,6 +81,29 @@
         return any(item.run_number == run for item in items)
 
 
+def test_orders_that_were_overtaken_start_nothing():
+    """The leader has heard that the later ones came, without the run."""
+    agent = Agent()
+    agent.sequence = 8
+    agent.order()
+    agent.sequence = 3
+    agent.order(starts=[START])
+    assert agent.calls(runner.StartCall) == []
+    assert not agent.has(1)
+    report = agent.keeper.take_report(agent.now_ms + 2_000)
+    assert report.orders_sequence == 9
+
+
+def test_orders_that_were_overtaken_still_stop():
+    agent = Agent()
+    agent.sequence = 8
+    agent.order()
+    agent.sequence = 3
+    agent.order(stops=[messages.RunRef(START.task, 1)])
+    (stop,) = agent.calls(runner.StopCall)
+    assert stop.run.run_number == 1
+
+
 def test_lists_that_overtake_each_other_lose_no_run():
     agent = Agent()
     (early,) = agent.calls()
--- a/packages/mulberryloom-standins/tests/test_job_simulation.py
+++ b/packages/mulberryloom-standins/tests/test_job_simulation.py
@@ -17,6 +17,7 @@
     (5_050, 14, 'a start still under way was given up with a lapsed lease'),
     (5_139, 14, 'a thawed agent carried out orders that had been given up'),
     (5_164, 14, 'a thawed agent carried out orders that had been given up'),
+    (842_501_008, 14, 'orders that others had overtaken started a run'),
 ]
 
 
