Name a run once; measure the planner on full fleets

Change: the bench adds fleets that are full with as many jobs waiting as there are workers; a run's name and key are built once.

--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/room.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/room.py
@@ -44,15 +44,14 @@
     progress_ms: int = 0
     listed_ms: int = 0
 
-    @property
-    def name(self) -> str:
-        """Name under which the worker knows the task."""
-        return jobs.task_name(self.job.job_id, self.task.key)
-
-    @property
-    def key(self) -> RunKey:
-        """Identity of the run on every worker."""
-        return self.name, self.run.number
+    #: Name under which the worker knows the task.
+    name: str = dataclasses.field(init=False)
+    #: Identity of the run on every worker.
+    key: RunKey = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        self.name = jobs.task_name(self.job.job_id, self.task.key)
+        self.key = self.name, self.run.number
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/bench_scale.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/bench_scale.py
@@ -15,6 +15,8 @@
 FULL_WORKERS = 1_800
 #: A region of that size, and the whole fleet in one planner.
 SIZES = (10, 100, 257, 600, 1_800)
+#: Sizes at which the fleet is measured full.
+SATURATED_SIZES = (11, 59, 100, 257)
 GANG_TASKS = 128
 TASKS_PER_JOB = 30
 
@@ -59,26 +61,30 @@
     for number in range(max(1, tasks // TASKS_PER_JOB)):
         job = _job(f'{number:016x}', step, 2)
         for task in job.task_by_key.values():
-            worker = choose.choice(workers)
-            task.last_run = 1
-            task.run = jobs.Run(1, worker.worker, 1)
-            run = policy.ActiveRun(
-                job,
-                task,
-                task.run,
-                step,
-                (worker.worker, 1),
-                NOW_MS,
-                is_recorded=True,
-                is_confirmed=True,
-                listed_ms=NOW_MS,
-                progress_ms=NOW_MS,
-            )
-            worker.run_by_key[run.key] = run
+            _run(job, task, choose.choice(workers))
         running.append(job)
     return running
 
 
+def _run(job: jobs.Job, task: jobs.Task, worker: policy.WorkerRoom) -> None:
+    """Have a task run on a worker."""
+    task.last_run = 1
+    task.run = jobs.Run(1, worker.worker, 1)
+    run = policy.ActiveRun(
+        job,
+        task,
+        task.run,
+        job.step_of(task.key),
+        (worker.worker, 1),
+        NOW_MS - 2_000,
+        is_recorded=True,
+        is_confirmed=True,
+        listed_ms=NOW_MS,
+        progress_ms=NOW_MS,
+    )
+    worker.run_by_key[run.key] = run
+
+
 def measure(size: int) -> tuple[int, float, float, float]:
     """Measure rounds at one size.
 
@@ -105,6 +111,63 @@
     return tasks, times[len(times) // 2], times[-1], memory_mb
 
 
+def _busy_step(choose: random.Random) -> tuple[jobs.Step, int]:
+    """Return a step and its priority, in the mix of the users' sites."""
+    kind = choose.random()
+    if kind < 0.3:
+        tasks = choose.choice([1, 2, 4, 6, 9])
+        size = choose.choice([1, 2, 4, 8])
+        return (
+            jobs.Step(
+                tasks,
+                52_000,
+                10_000,
+                size,
+                17_000,
+                is_gang=True,
+                is_same_rack=True,
+                is_checkpointed=True,
+            ),
+            1,
+        )
+    if kind < 0.8:
+        tasks = choose.choice([1, 2, 5, 9])
+        size = choose.choice([1, 2, 4, 8])
+        step = jobs.Step(tasks, 15_000, 4_000, size, 5_000, is_gang=True)
+        return step, 0
+    tasks = choose.choice([10, 30, 60])
+    return jobs.Step(tasks, 11_000, 2_000, 1, 15_000), 2
+
+
+def measure_saturated(size: int) -> tuple[int, int, float, float]:
+    """Measure rounds of a fleet that is full, with as many jobs waiting.
+
+    :return: running tasks, waiting jobs, median and longest round in
+        milliseconds.
+    """
+    choose = random.Random(size)
+    workers = [_worker(index) for index in range(size)]
+    planner = policy.JobPlanner(policy.PlanOptions())
+    open_jobs: list[jobs.Job] = []
+    waiting = 0
+    while waiting < size:
+        for _ in range(10):
+            step, priority = _busy_step(choose)
+            open_jobs.append(_job(f'{len(open_jobs):016x}', step, priority))
+        plan = planner.plan(open_jobs, workers, _CATALOGUE, NOW_MS, NOW_MS)
+        for start in plan.starts:
+            _run(start.job, start.task, start.worker)
+        waiting = sum(not job.has_started for job in open_jobs)
+    times = []
+    for _ in range(ROUNDS):
+        started = time.perf_counter()
+        planner.plan(open_jobs, workers, _CATALOGUE, NOW_MS, NOW_MS)
+        times.append((time.perf_counter() - started) * 1_000)
+    times.sort()
+    running = sum(len(worker.run_by_key) for worker in workers)
+    return running, waiting, times[len(times) // 2], times[-1]
+
+
 def main() -> None:
     """Print a table."""
     print('workers  tasks  round ms (median)  longest  memory MB')
@@ -114,6 +177,14 @@
             f'{size:7}  {tasks:5}  {median:17.1f}  {longest:7.1f}'
             f'  {memory_mb:9.1f}'
         )
+    print('full, as many jobs waiting as there are workers')
+    print('workers  tasks  waiting  round ms (median)  longest')
+    for size in SATURATED_SIZES:
+        running, waiting, median, longest = measure_saturated(size)
+        print(
+            f'{size:7}  {running:5}  {waiting:7}  {median:17.1f}'
+            f'  {longest:7.1f}'
+        )
 
 
 if __name__ == '__main__':
