Read a worker's answers in one place

Cause: both clients of workers turned the answer to an order into a reply by the same twelve lines. Change: the class that both send through returns the reply; each client gives it its own reading of the status.

--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/http_worker.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/http_worker.py
@@ -57,12 +57,12 @@
     """
 
     def __init__(self, address: identity.Address) -> None:
-        self._http = worker_http.WorkerHttp(address, WORKER_HEADER)
+        self._http = worker_http.WorkerHttp(address, WORKER_HEADER, _status)
 
     async def hold(self, call: runner.HoldCall) -> runner.HoldReply:
         """Read the lists and renew the lease."""
         observed = call.observed if self._http.is_list_connected else 0
-        code, document = await self._http.ask_lists(
+        status, document = await self._http.ask_lists(
             HOLD_PATH,
             call.worker,
             {
@@ -73,7 +73,6 @@
             },
             call.wait_ms,
         )
-        status = _status(code, document)
         if status is not runner.CallStatus.DONE:
             return runner.HoldReply(status)
         try:
@@ -117,7 +116,7 @@
             'deadline_ms': call.deadline_ms,
             'generation': call.generation,
         }
-        return await self._order(START_PATH, call.worker, body)
+        return await self._http.order(START_PATH, call.worker, body)
 
     async def stop(self, call: runner.StopCall) -> runner.CallReply:
         """Stop a run."""
@@ -126,17 +125,7 @@
             'run': call.run.run_number,
             'generation': call.generation,
         }
-        return await self._order(STOP_PATH, call.worker, body)
-
-    async def _order(
-        self, path: str, worker: str, body: worker_http.Document
-    ) -> runner.CallReply:
-        code, document = await self._http.order(path, worker, body)
-        clock_ms = document.get('clock_ms', 0)
-        return runner.CallReply(
-            _status(code, document),
-            clock_ms if isinstance(clock_ms, int) else 0,
-        )
+        return await self._http.order(STOP_PATH, call.worker, body)
 
 
 def _status(code: int, document: worker_http.Document) -> runner.CallStatus:
--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_http.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_http.py
@@ -8,12 +8,15 @@
 import orjson
 import structlog
 
+from . import runner
+
 #: Longest wait for an answer on the same VM.
 CALL_TIMEOUT_MS = 500
 #: Connections to the worker for orders and for lists; each new one is dear.
 MAX_CONNECTIONS = 3
 
 Document: t.TypeAlias = dict[str, t.Any]
+StatusReader: t.TypeAlias = t.Callable[[int, Document], runner.CallStatus]
 
 _log = structlog.get_logger(__name__)
 
@@ -23,13 +26,27 @@
 
     :param address: where the worker takes calls.
     :param worker_header: header that names the worker that is meant.
+    :param read_status: tells the outcome from the answer's status, ``0``
+        when there was none that can be read, and its object.
     """
 
-    __slots__ = ('_address', '_lists', '_orders', '_worker_header')
+    __slots__ = (
+        '_address',
+        '_lists',
+        '_orders',
+        '_read_status',
+        '_worker_header',
+    )
 
-    def __init__(self, address: identity.Address, worker_header: str) -> None:
+    def __init__(
+        self,
+        address: identity.Address,
+        worker_header: str,
+        read_status: StatusReader,
+    ) -> None:
         self._address = address
         self._worker_header = worker_header
+        self._read_status = read_status
         limits = http_client.ClientLimits(
             max_connections=MAX_CONNECTIONS,
             connect_timeout_ms=CALL_TIMEOUT_MS,
@@ -46,25 +63,29 @@
 
     async def ask_lists(
         self, path: str, worker: str, body: Document, wait_ms: int
-    ) -> tuple[int, Document]:
-        """Ask for the worker's lists; see :meth:`order`.
+    ) -> tuple[runner.CallStatus, Document]:
+        """Ask for the worker's lists.
 
         :param wait_ms: how long the worker may wait for news.
         """
         timeout_ms = CALL_TIMEOUT_MS + wait_ms
-        return await self._post(self._lists, path, worker, body, timeout_ms)
+        code, document = await self._post(
+            self._lists, path, worker, body, timeout_ms
+        )
+        return self._read_status(code, document), document
 
     async def order(
         self, path: str, worker: str, body: Document
-    ) -> tuple[int, Document]:
-        """Send an order.
-
-        :return: the status, ``0`` when there was no answer that can be
-            read, and the answer's object.
-        """
-        return await self._post(
+    ) -> runner.CallReply:
+        """Send an order; its answer may tell the worker's clock."""
+        code, document = await self._post(
             self._orders, path, worker, body, CALL_TIMEOUT_MS
         )
+        clock_ms = document.get('clock_ms', 0)
+        return runner.CallReply(
+            self._read_status(code, document),
+            clock_ms if isinstance(clock_ms, int) else 0,
+        )
 
     async def _post(
         self,
