Keep the fleet's log out of what documented commands print

The fleet runs in the test's process with structlog's own settings, which print to standard output; a command's output is taken by replacing that, so that a log line of the same moment stood before the command's JSON. Since jobs run in that fleet, there are more such lines. Change: the test gives the fleet's log a file of its own; what it checks is the same. Ruled out: a line of the product's on the command's output; commands do not log.

--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -10,9 +10,11 @@
 import shutil
 
 import pytest
+import structlog
 
 from mulberryloom_agent import __main__ as agent_command
 from mulberryloom_core import exceptions
+from mulberryloom_core.process import logs
 from mulberryloom_entry import __main__ as entry_command
 from mulberryloom_standins.demo import embedded
 from mulberryloom_standins import deployments
@@ -177,6 +179,16 @@
     return wrong
 
 
+@pytest.fixture
+def log_apart():
+    """Keep the fleet's log out of what the commands print."""
+    logs.configure('info', io.StringIO())
+    yield
+    structlog.reset_defaults()
+    structlog.contextvars.clear_contextvars()
+
+
+@pytest.mark.usefixtures('log_apart')
 def test_documented_commands_run_as_written(tmp_path, monkeypatch):
     shutil.copytree(ROOT / 'examples', tmp_path / 'examples')
     monkeypatch.chdir(tmp_path)
