Give cleared room to the job that it was cleared for; charge no stop that is not made

Second, a new leader dropped the stops of its first 700 ms after planning them, but the jobs stayed charged for them, and what drains was not moved in that time. Change: among equals, jobs that room was cleared for go first. The planner is told whether it may stop runs for others; while agents gather it neither clears nor charges, and moves what has to leave its worker. Ruled out: to keep the room under the first job's name across rounds; the turn does the same without more state.

--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -695,10 +695,15 @@
         found = (self._ledger.find(job_id) for job_id in self._open_ids)
         open_jobs = [job for job in found if job and not job.state.is_final]
         plan = self._planner.plan(
-            open_jobs, rooms, self.catalogue, now_ms, wall_ms
+            open_jobs,
+            rooms,
+            self.catalogue,
+            now_ms,
+            wall_ms,
+            # Agents that are still to come may have room.
+            may_stop=not is_gathering,
         )
-        # Agents that are still to come may have room.
-        for stop in [] if is_gathering else plan.stops:
+        for stop in plan.stops:
             self._stop(stop.run, stop.reason)
             self._stop_gang(stop.run, stop.reason)
         for start in plan.starts:
--- a/packages/mulberryloom-entry/tests/test_job_leader.py
+++ b/packages/mulberryloom-entry/tests/test_job_leader.py
@@ -7,7 +7,6 @@
 from mulberryloom_core.version import catalogue as catalogues
 from mulberryloom_entry.jobs import keys
 from mulberryloom_entry.jobs import leader as leaders
-from mulberryloom_policy import jobs as policy
 
 JOB_ID = 'a' * 16
 TASK = f'{JOB_ID}.0.0.0'
@@ -135,28 +134,21 @@
     term.leader.catalogue = CATALOGUE
     began_ms = term.now_ms
     term.submit()
-    for _ in range(6):
-        term.report()
-        term.step()
-    run = term.leader._run_by_key[TASK, 1]
+    allowed = {}
     plan = term.leader._planner.plan
 
-    def plan_with_stop(*given):
-        made = plan(*given)
-        made.stops.append(policy.planner.Stop(run, 'reclaimed'))
-        return made
+    def watch(*given, may_stop):
+        allowed[term.now_ms - began_ms] = may_stop
+        return plan(*given, may_stop=may_stop)
 
-    term.leader._planner.plan = plan_with_stop
-    while term.now_ms - began_ms < options.gather_ms - 50:
-        term.leader._needs_plan = True
-        term.report(running=[1], sequence=9)
-        term.step()
-        assert not run.is_stopping
-    for _ in range(3):
+    term.leader._planner.plan = watch
+    while term.now_ms - began_ms < options.gather_ms + 100:
         term.leader._needs_plan = True
-        term.report(running=[1], sequence=9)
+        term.report()
         term.step()
-    assert run.is_stopping
+    assert min(allowed) < options.gather_ms
+    for after_ms, may_stop in allowed.items():
+        assert may_stop == (after_ms >= options.gather_ms)
 
 
 def test_reports_without_news_cause_no_plans():
@@ -166,7 +158,12 @@
     term.step()
     rounds = []
     plan = term.leader._planner.plan
-    term.leader._planner.plan = lambda *given: rounds.append(1) or plan(*given)
+
+    def count(*given, **options):
+        rounds.append(1)
+        return plan(*given, **options)
+
+    term.leader._planner.plan = count
     for _ in range(40):
         term.report(running=[1], sequence=1)
         term.step()
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
@@ -86,6 +86,7 @@
     now_ms: int
     wall_ms: int
     entitled_ids: set[str]
+    may_stop: bool
     plan: Plan = dataclasses.field(default_factory=Plan)
     reservations: list[Reservation] = dataclasses.field(default_factory=list)
 
@@ -112,6 +113,8 @@
         catalogue: catalogues.Catalogue,
         now_ms: int,
         wall_ms: int,
+        *,
+        may_stop: bool = True,
     ) -> Plan:
         """Decide one round.
 
@@ -119,13 +122,16 @@
         kept.
 
         :param open_jobs: jobs that are not final.
+        :param may_stop: whether runs may be stopped for others.
         """
         waiting_jobs = list(open_jobs)
         self._estimator.begin_round(waiting_jobs)
         for worker in workers:
             worker.begin_round()
         entitled_ids = _entitled(waiting_jobs, catalogue)
-        current = _Round(workers, catalogue, now_ms, wall_ms, entitled_ids)
+        current = _Round(
+            workers, catalogue, now_ms, wall_ms, entitled_ids, may_stop
+        )
         for run, reason in self._evacuation.leaving(workers, now_ms):
             current.plan.stops.append(Stop(run, reason))
         self._reclaimer.begin_round(stop.run for stop in current.plan.stops)
@@ -147,6 +153,7 @@
         """Return the sort key of a job.
 
         Guaranteed jobs go first, then urgency. Among equals go those that
+        room was cleared for, so that no other takes it, then those that
         can still be in time, by their latest start, then those that can
         still be of use.
         """
@@ -157,6 +164,7 @@
             not is_entitled,
             share == 0.0,
             job.terms.priority,
+            job.job_id not in self._spent_by_job,
             -share,
             prospect.slack_ms(current.wall_ms),
             job.accepted_ms,
@@ -332,7 +340,7 @@
         in_one_rack: bool,
     ) -> bool:
         job = waiting.job
-        if job.terms.priority != 0:
+        if job.terms.priority != 0 or not current.may_stop:
             return False
         idle = [
             task
--- a/packages/mulberryloom-policy/tests/test_job_planner.py
+++ b/packages/mulberryloom-policy/tests/test_job_planner.py
@@ -46,8 +46,8 @@
         self.jobs = []
         self.now_ms = NOW_MS
 
-    def submit(self, *steps, priority=1, account='a'):
-        terms = jobs.Terms('q', 's', account, priority, 2, 3.0, 1_000)
+    def submit(self, *steps, priority=1, account='a', queue='q'):
+        terms = jobs.Terms(queue, 's', account, priority, 2, 3.0, 1_000)
         job = jobs.Job.from_spec(
             f'{len(self.jobs):016x}',
             jobs.JobSpec('x', steps),
@@ -57,13 +57,14 @@
         self.jobs.append(job)
         return job
 
-    def plan(self):
+    def plan(self, **options):
         return self.planner.plan(
             [job for job in self.jobs if not job.state.is_final],
             self.workers,
             CATALOGUE,
             self.now_ms,
             self.now_ms,
+            **options,
         )
 
     def round(self, after_ms=0):
@@ -251,6 +252,40 @@
     assert region.round(15_000).stops == []
 
 
+def test_room_goes_to_the_urgent_job_that_it_was_cleared_for():
+    """Another would go first, and is not worth clearing any for."""
+    region = Region([_worker(1)])
+    region.submit(_step(1, 8, estimate_ms=600_000), priority=2, queue='other')
+    region.round()
+    large = region.submit(
+        _step(1, 8, estimate_ms=9_000), priority=0, account='other'
+    )
+    assert len(region.round(8_000).stops) == 1
+    small = region.submit(
+        _step(1, 8, estimate_ms=1_000), priority=0, account='other'
+    )
+    region.round(100)
+    region.end_stopped()
+    region.round(100)
+    assert region.runs(large)
+    assert not region.runs(small)
+
+
+def test_nothing_is_stopped_or_charged_while_a_leader_gathers_agents():
+    region = Region([_worker(1)])
+    region.submit(_step(1, 8), priority=2)
+    region.round()
+    urgent = region.submit(_step(1, 8), priority=0)
+    for _ in range(20):
+        region.now_ms += 100
+        assert region.plan(may_stop=False).stops == []
+    assert not region.planner._spent_by_job
+    region.round(100)
+    region.end_stopped()
+    region.round(100)
+    assert region.runs(urgent)
+
+
 def test_large_gang_is_not_starved_by_small_work():
     region = Region([_worker(1), _worker(2)])
     for _ in range(16):
