Look at waiting work more often than at the rest

How soon room should come free decides whether some is cleared, and changes while nobody reports anything new. Change: while a step waits for room, a plan is made each 100 ms; the rest after each plan still bounds their share of the time. Ruled out: a plan at each report again; their number grows with the agents, whether anything waits or not. Test: test_waiting_work_is_looked_at_more_often fails on the source before.

--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -44,6 +44,8 @@
         on those that have come.
     :param replan_ms: pause between plans without news, for what only the
         time makes due.
+    :param waiting_replan_ms: the same while a step waits for room: how
+        soon it should start decides what is cleared for it.
     :param order_life_ms: how long an order without an answer may still be
         carried out.
     :param keep_ms: how long an ended job can be asked for.
@@ -58,6 +60,7 @@
     gather_ms: int = 700
     settle_ms: int = 150
     replan_ms: int = 500
+    waiting_replan_ms: int = 100
     order_life_ms: int = 15_000
     keep_ms: int = 150_000
 
@@ -686,7 +689,10 @@
         is_gathering = now_ms - self._since_ms < self._options.gather_ms
         if is_gathering and not self._has_settled(now_ms):
             return
-        is_due = now_ms - self._planned_ms >= self._options.replan_ms
+        pause_ms = self._options.replan_ms
+        if self._blocked_reason_by_step:
+            pause_ms = self._options.waiting_replan_ms
+        is_due = now_ms - self._planned_ms >= pause_ms
         if not self._needs_plan and not is_due:
             return
         self._needs_plan = False
--- a/packages/mulberryloom-entry/tests/test_job_leader.py
+++ b/packages/mulberryloom-entry/tests/test_job_leader.py
@@ -174,6 +174,32 @@
     assert len(rounds) > 0
 
 
+def test_waiting_work_is_looked_at_more_often():
+    """What runs may end later than it seemed, and nobody reports that."""
+    term = _running_term()
+    spec = jobs.JobSpec('x', (jobs.Step(1, accelerators=8),))
+    for job_id in ('b' * 16, 'c' * 16):
+        job = jobs.Job.from_spec(job_id, spec, jobs.Terms('q', 's', 'a'), 0)
+        term.revision += 1
+        value = job_records.encode(job)
+        entry = store.Entry(keys.job_key(job_id), value, term.revision)
+        term.leader.adopt([entry], term.now_ms, term.now_ms)
+    term.step()
+    rounds = []
+    plan = term.leader._planner.plan
+
+    def count(*given, **options):
+        rounds.append(1)
+        return plan(*given, **options)
+
+    term.leader._planner.plan = count
+    for _ in range(40):
+        term.step()
+    spent_ms = 40 * 50
+    pause_ms = leaders.LeaderOptions().waiting_replan_ms
+    assert len(rounds) >= spent_ms // (2 * pause_ms)
+
+
 def test_orders_are_sent_again_in_a_new_session():
     term = _running_term()
     term.leader.on_session('vm.1')
