Use what was there: one configuration, one metrics library, one way to read headers

Found in reading the whole change again: - The part for jobs of `mulberryloom serve` followed the configuration in the store a second time, by another rule for which version is newer than the process itself. Tests: two for the headers and the feed; the tests of the tally read the library's numbers (100.0 for 100) and check the same.

--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/http_worker.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/http_worker.py
@@ -135,11 +135,12 @@
     try:
         return runner.CallStatus(document.get('status'))
     except ValueError:
-        return (
-            runner.CallStatus.REJECTED
-            if code >= 400
-            else (runner.CallStatus.UNKNOWN)
+        _log.warning(
+            'status unknown', code=code, status=document.get('status')
         )
+    if code >= 400:
+        return runner.CallStatus.REJECTED
+    return runner.CallStatus.UNKNOWN
 
 
 def read_heartbeat(
--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/process.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/process.py
@@ -5,7 +5,6 @@
 
 from mulberryloom_core import clock as clocks
 from mulberryloom_core.connection import node as nodes
-from mulberryloom_core.connection import options as session_options
 from mulberryloom_core import effects
 from mulberryloom_core import identity
 from mulberryloom_core import messages
@@ -52,16 +51,13 @@
         clock: clocks.Clock,
         options: keepers.KeeperOptions,
     ) -> None:
-        self.name = identity.process_name(node)
         self._clock = clock
         self._runner = worker_runner
         self._directory = directory
-        self._node = nodes.Node.from_identity(
-            identity.PeerId(identity.Role.AGENT, self.name, 1),
-            secret,
-            clock,
-            session_options.LEASE_OPTIONS,
+        self._node = nodes.Node.for_leases(
+            identity.Role.AGENT, node, secret, clock
         )
+        self.name = self._node.name
         self.tally = tally.Tally()
         self._keeper = keepers.Keeper(options, clock.now_ms())
         self._addresses: dict[identity.Address, None] = dict.fromkeys(seeds)
@@ -129,7 +125,7 @@
         self.tally.gauge('has_leader', int(self.has_leader))
         self.tally.gauge('leader_generation', self._leader_generation)
         self.tally.gauge('known_entries', len(self._addresses))
-        return '\n'.join([*self.tally.lines(), ''])
+        return self.tally.text()
 
     # Entries
 
--- a/packages/mulberryloom-core/src/mulberryloom_core/connection/node.py
+++ b/packages/mulberryloom-core/src/mulberryloom_core/connection/node.py
@@ -16,6 +16,8 @@
 from . import endpoint as endpoint_
 from ..identity import Address
 from ..identity import PeerId
+from ..identity import process_name
+from ..identity import Role
 from . import options as options_
 from . import outputs
 
@@ -111,6 +113,22 @@
         endpoint = endpoint_.Endpoint(me, secret, options, secrets.token_bytes)
         return cls(endpoint, clock, options)
 
+    @classmethod
+    def for_leases(
+        cls, role: Role, vm: str, secret: bytes, clock: clock_.Clock
+    ) -> 'Node':
+        """Build a node whose sessions leases depend on.
+
+        Its name is new at every start, so that it needs no incarnation.
+        """
+        me = PeerId(role, process_name(vm), 1)
+        return cls.from_identity(me, secret, clock, options_.LEASE_OPTIONS)
+
+    @property
+    def name(self) -> str:
+        """Peer name of this process."""
+        return self._endpoint.me.name
+
     @property
     def counters(self) -> options_.NodeCounters:
         """Totals since the start."""
--- a/packages/mulberryloom-core/src/mulberryloom_core/process/metrics.py
+++ b/packages/mulberryloom-core/src/mulberryloom_core/process/metrics.py
@@ -1,5 +1,7 @@
 """Metrics of a process in the Prometheus text format."""
 
+import typing as t
+
 import aioprometheus
 from aioprometheus import renderer
 
@@ -23,6 +25,17 @@
         """Register a gauge."""
         return aioprometheus.Gauge(name, text, registry=self._registry)
 
+    def histogram(
+        self, name: str, text: str, bounds: t.Sequence[float]
+    ) -> aioprometheus.Histogram:
+        """Register a histogram.
+
+        :param bounds: upper bounds of its buckets, rising.
+        """
+        return aioprometheus.Histogram(
+            name, text, buckets=bounds, registry=self._registry
+        )
+
     def response(self) -> HttpResponse:
         """Answer a scrape."""
         content, headers = renderer.render(self._registry, _TEXT)
--- a/packages/mulberryloom-core/tests/test_job_records.py
+++ b/packages/mulberryloom-core/tests/test_job_records.py
@@ -51,16 +51,19 @@
     counts = tally.Tally()
     for index in range(1_000):
         counts.count('calls_total', f'label-{index}')
-    assert len(list(counts.lines())) <= tally.MAX_LABELS + 2
+    lines = counts.text().splitlines()
+    values = [line for line in lines if line.startswith('calls_total')]
+    assert len(values) <= tally.MAX_LABELS + 1
+    assert 'calls_total{kind="other"} 960' in values
 
 
 def test_histogram_counts_every_duration():
     counts = tally.Tally()
     for duration_ms in (1, 60, 10**9):
         counts.observe_ms('wait_ms', duration_ms)
-    lines = list(counts.lines())
-    assert 'wait_ms_bucket{le="100"} 2' in lines
-    assert 'wait_ms_count 3' in lines
+    lines = counts.text().splitlines()
+    assert 'wait_ms_bucket{le="100.0"} 2.0' in lines
+    assert 'wait_ms_count 3.0' in lines
 
 
 class StuckFile(io.StringIO):
--- a/packages/mulberryloom-core/tests/test_lag.py
+++ b/packages/mulberryloom-core/tests/test_lag.py
@@ -16,8 +16,8 @@
         time.sleep(0.5)
         await asyncio.sleep(0.1)
         task.cancel()
-        return list(counts.lines())
+        return counts.text().splitlines()
 
     lines = asyncio.run(run())
-    assert f'{lag.METRIC}_count 1' in lines
-    assert f'{lag.METRIC}_bucket{{le="250"}} 0' in lines
+    assert f'{lag.METRIC}_count 1.0' in lines
+    assert f'{lag.METRIC}_bucket{{le="250.0"}} 0.0' in lines
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/connection/callers.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/connection/callers.py
@@ -20,7 +20,6 @@
 from ..request import intake
 from . import tokens
 
-MAX_KEY_CHARACTERS = 255
 MAX_CANCELLED = 10_000
 
 _Kind = exceptions.ErrorKind
@@ -111,10 +110,10 @@
         service: str,
         method: str,
     ) -> http_types.HttpResponse:
-        key = request.headers_by_name.get('idempotency-key', '').strip()
-        if len(key) > MAX_KEY_CHARACTERS:
-            detail = f'Idempotency-Key: over {MAX_KEY_CHARACTERS} characters'
-            return problems.response_of_kind(_Kind.MALFORMED_REQUEST, detail)
+        read = intake.read_key(request)
+        if isinstance(read, Err):
+            return problems.response(read.err_value)
+        key = read.ok_value
         if key:
             request_id = records.keyed_request_id(account.name, key)
         else:
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/connection/job_callers.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/connection/job_callers.py
@@ -17,12 +17,11 @@
 from ..jobs import intake as intakes
 from . import problems
 from ..process import records
+from ..request import intake as request_intake
 
 PATH = '/v1/jobs'
 #: Time that a caller waits when it does not say.
 DEFAULT_BUDGET_MS = 3_000
-BUDGET_HEADER = 'mulberryloom-deadline-ms'
-MAX_KEY_CHARACTERS = 255
 #: When callers shall come back to an entry without a configuration.
 NO_CONFIGURATION_RETRY_MS = 1_000
 _ID_BYTES = 16
@@ -76,10 +75,8 @@
                 )
             case ('GET', False):
                 return await self._list(self._service, request, account)
-            case ('GET', True):
-                return await self._show(self._service, job_id, account)
-            case ('DELETE', True):
-                return await self._cancel(
+            case ('GET' | 'DELETE', True):
+                return await self._on_job(
                     self._service, request, job_id, account
                 )
         response = problems.response_of_kind(
@@ -96,10 +93,12 @@
         account: configurations.ClientAccount,
         configuration: configurations.Configuration,
     ) -> http_types.HttpResponse:
-        key = request.headers_by_name.get('idempotency-key', '').strip()
-        if len(key) > MAX_KEY_CHARACTERS:
-            detail = f'Idempotency-Key: over {MAX_KEY_CHARACTERS} characters'
-            return problems.response_of_kind(_Kind.MALFORMED_REQUEST, detail)
+        key = request_intake.read_key(request)
+        if isinstance(key, Err):
+            return problems.response(key.err_value)
+        budget_ms = _budget_ms(request)
+        if isinstance(budget_ms, Err):
+            return problems.response(budget_ms.err_value)
         submission = job_documents.read(request.body)
         if isinstance(submission, Err):
             return problems.response(submission.err_value)
@@ -118,13 +117,15 @@
             return problems.response_of_kind(
                 _Kind.UNKNOWN_QUEUE, f'no queue {wanted.queue!r}'
             )
-        refusal = _refusal(account, queue, configuration)
-        if refusal is not None:
-            return problems.response(refusal)
-        if key:
-            job_id = records.keyed_request_id(account.name, key)
-        else:
-            job_id = secrets.token_hex(_ID_BYTES)
+        service_name, _, method_name = queue.name.partition('/')
+        allowed = request_intake.find_method(
+            account, service_name, method_name, configuration
+        )
+        if isinstance(allowed, Err):
+            return problems.response(allowed.err_value)
+        job_id = secrets.token_hex(_ID_BYTES)
+        if key.ok_value:
+            job_id = records.keyed_request_id(account.name, key.ok_value)
         terms = jobs.Terms(
             queue.name,
             queue.service,
@@ -135,7 +136,7 @@
             queue.slack_ms,
         )
         result = await service.intake.submit(
-            job_id, wanted.spec, terms, _budget_ms(request)
+            job_id, wanted.spec, terms, budget_ms.ok_value
         )
         if result.is_err():
             return problems.response(result.unwrap_err(), job_id)
@@ -153,30 +154,26 @@
         queue = fields.get('queue', [''])[0]
         return await respond_list(service, queue, account.name)
 
-    async def _show(
-        self,
-        service: JobService,
-        job_id: str,
-        account: configurations.ClientAccount,
-    ) -> http_types.HttpResponse:
-        found = await _find_own(service, job_id, account)
-        if found.is_err():
-            return problems.response(found.unwrap_err())
-        return bodies.json_response(
-            200, job_documents.describe(found.unwrap())
-        )
-
-    async def _cancel(
+    async def _on_job(
         self,
         service: JobService,
         request: http_types.HttpRequest,
         job_id: str,
         account: configurations.ClientAccount,
     ) -> http_types.HttpResponse:
-        found = await _find_own(service, job_id, account)
+        """Show or cancel a job; those of others are not known."""
+        found = await service.intake.find(job_id)
         if found.is_err():
             return problems.response(found.unwrap_err())
-        return await respond_cancel(service, job_id, _budget_ms(request))
+        job = found.unwrap()
+        if job.terms.account != account.name:
+            return problems.response_of_kind(_Kind.UNKNOWN_JOB)
+        if request.method == 'GET':
+            return bodies.json_response(200, job_documents.describe(job))
+        budget_ms = _budget_ms(request)
+        if isinstance(budget_ms, Err):
+            return problems.response(budget_ms.err_value)
+        return await respond_cancel(service, job_id, budget_ms.ok_value)
 
 
 async def respond_list(
@@ -213,34 +210,12 @@
     return bodies.json_response(200, document)
 
 
-async def _find_own(
-    service: JobService,
-    job_id: str,
-    account: configurations.ClientAccount,
-) -> Result[jobs.Job, exceptions.Error]:
-    """Return a job of an account; those of others are not known to it."""
-    found = await service.intake.find(job_id)
-    if found.is_ok() and found.unwrap().terms.account != account.name:
-        return Err(exceptions.Error.from_kind(_Kind.UNKNOWN_JOB))
-    return found
-
-
-def _refusal(
-    account: configurations.ClientAccount,
-    queue: catalogues.Queue,
-    configuration: configurations.Configuration,
-) -> exceptions.Error | None:
-    """Return why an account may not use a queue, if it may not."""
-    if account.state is not configurations.AccountState.ACTIVE:
-        detail = f'account {account.name} is suspended'
-        return exceptions.Error.from_kind(_Kind.FORBIDDEN, detail)
-    service = configuration.services_by_name.get(queue.service)
-    if service is None or account.name not in service.accounts:
-        detail = f'{account.name} may not use {queue.service}'
-        return exceptions.Error.from_kind(_Kind.FORBIDDEN, detail)
-    return None
-
-
-def _budget_ms(request: http_types.HttpRequest) -> int:
-    text = request.headers_by_name.get(BUDGET_HEADER, '')
-    return max(1, int(text)) if text.isdecimal() else DEFAULT_BUDGET_MS
+def _budget_ms(
+    request: http_types.HttpRequest,
+) -> Result[int, exceptions.Error]:
+    """Return how long a caller waits for its answer."""
+    header = request_intake.DEADLINE_HEADER
+    text = request.headers_by_name.get(header, str(DEFAULT_BUDGET_MS))
+    return request_intake.parse_amount(
+        header, text, request_intake.MAX_DEADLINE_MS
+    )
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/catalogue_follower.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/catalogue_follower.py
@@ -37,6 +37,33 @@
         """Read one version."""
 
 
+class CatalogueFeed(t.Protocol):
+    """The configuration in force at an entry, and how it gets there."""
+
+    @property
+    def catalogue(self) -> catalogues.Catalogue | None:
+        """The version in force, once there is one."""
+
+    @property
+    def version(self) -> int:
+        """Version in force; ``-1`` before the first."""
+
+    async def run(self) -> None:
+        """Bring in newer versions for ever."""
+
+    def pack(self) -> bytes:
+        """Return what other entries may take over; empty for nothing."""
+
+    def offer_packed(self, packed: bytes, source: str) -> None:
+        """Take in what another entry's :meth:`pack` returned."""
+
+
+#: Builds a feed from the store and from who is told of newer versions.
+MakeFeed: t.TypeAlias = t.Callable[
+    [store.Store, t.Callable[[catalogues.Catalogue], None]], CatalogueFeed
+]
+
+
 class CatalogueFollower:
     """Follows the configuration in the store and from other entries.
 
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/stored_catalogue.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/configuration_feed.py
@@ -5,33 +5,61 @@
 after a worker was lost.
 """
 
-from mulberryloom_core import exceptions
+import asyncio
+import typing as t
+
+from mulberryloom_core import store
 from mulberryloom_core.version import catalogue as catalogues
 from mulberryloom_core.version import configuration as configurations
-from mulberryloom_core.version import document as documents
-from result import Result
 
 #: Runs of one task that may fail before the job has failed.
 MAX_ATTEMPTS = 3
+#: Pause between looks at the version in force in this process.
+LOOK_MS = 100
+_MS_PER_S = 1_000
+
 
+class ConfigurationFeed:
+    """Takes the catalogue from the configuration that the process follows.
 
-class StoredCatalogue:
-    """Where the product keeps its own configuration."""
+    :param read: returns the version in force in this process.
+    :param on_change: told of each newer version.
+    """
 
-    __slots__ = ()
+    def __init__(
+        self,
+        read: t.Callable[[], configurations.Configuration],
+        _job_store: store.Store,
+        on_change: t.Callable[[catalogues.Catalogue], None],
+    ) -> None:
+        self._read = read
+        self._on_change = on_change
+        self.catalogue: catalogues.Catalogue | None = None
 
     @property
-    def key(self) -> str:
-        """Key in the store."""
-        return documents.KEY
-
-    def decode(
-        self, document: bytes
-    ) -> Result[catalogues.Catalogue, exceptions.Error]:
-        """Read one version."""
-        return documents.decode(document).map(
-            lambda found: from_configuration(found.configuration)
-        )
+    def version(self) -> int:
+        """Version in force; ``-1`` before the first."""
+        return -1 if self.catalogue is None else self.catalogue.version
+
+    async def run(self) -> None:
+        """Follow the process for ever."""
+        while True:
+            self.look()
+            await asyncio.sleep(LOOK_MS / _MS_PER_S)
+
+    def look(self) -> None:
+        """Take over the version in force, if it is newer."""
+        found = self._read()
+        if found.version > max(0, self.version):
+            self.catalogue = from_configuration(found)
+            self._on_change(self.catalogue)
+
+    def pack(self) -> bytes:
+        """Return nothing: each process follows its configuration itself."""
+        return b''
+
+    def offer_packed(self, packed: bytes, source: str) -> None:
+        """Ignore what another entry has; see :meth:`pack`."""
 
 
 def from_configuration(
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/entry.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/entry.py
@@ -6,7 +6,6 @@
 
 from mulberryloom_core import clock as clocks
 from mulberryloom_core.connection import node as nodes
-from mulberryloom_core.connection import options as session_options
 from mulberryloom_core import effects
 from mulberryloom_core import exceptions
 from mulberryloom_core import identity
@@ -81,7 +80,7 @@
         self,
         me: EntryIdentity,
         direct_store: store.Store,
-        source: catalogue_follower.CatalogueSource,
+        make_feed: catalogue_follower.MakeFeed,
         clock: clocks.Clock,
         options: leaders.LeaderOptions,
     ) -> None:
@@ -89,21 +88,16 @@
         self._clock = clock
         self._options = options
         self._election = election.ElectionOptions()
-        self.name = identity.process_name(me.node)
         self.tally = tally.Tally()
-        self._node = nodes.Node.from_identity(
-            identity.PeerId(identity.Role.ENTRY, self.name, 1),
-            me.secret,
-            clock,
-            session_options.LEASE_OPTIONS,
+        self._node = nodes.Node.for_leases(
+            identity.Role.ENTRY, me.node, me.secret, clock
         )
+        self.name = self._node.name
         self._calls = calls.PeerCalls(self._node)
         self.store = gateway.StoreGateway(
             direct_store, self._calls, self._relay_peers, clock, self.tally
         )
-        self._follower = catalogue_follower.CatalogueFollower(
-            source, self.store.direct, self._on_catalogue
-        )
+        self._feed = make_feed(self.store.direct, self._on_catalogue)
         self.intake = intake.Intake(self.store, self, clock, self.tally)
         self._peer_by_name: dict[str, _Peer] = {}
         self._agent_names: set[str] = set()
@@ -124,15 +118,18 @@
         cls,
         me: EntryIdentity,
         direct_store: store.Store,
-        source: catalogue_follower.CatalogueSource,
+        make_feed: catalogue_follower.MakeFeed,
         options: leaders.LeaderOptions | None = None,
         clock: clocks.Clock | None = None,
     ) -> 'JobEntry':
-        """Build an entry that has opened nothing yet."""
+        """Build an entry that has opened nothing yet.
+
+        :param make_feed: how its configuration gets here.
+        """
         return cls(
             me,
             direct_store,
-            source,
+            make_feed,
             clock or clocks.SystemClock(),
             options or leaders.LeaderOptions(),
         )
@@ -142,7 +139,7 @@
     @property
     def catalogue(self) -> catalogues.Catalogue | None:
         """The configuration in force, once there is one."""
-        return self._follower.catalogue
+        return self._feed.catalogue
 
     @property
     def is_leading(self) -> bool:
@@ -164,12 +161,12 @@
         """Return all counters, gauges and histograms as text."""
         self.tally.gauge('is_leading', int(self.is_leading))
         self.tally.gauge('is_ready', int(self.is_ready))
-        self.tally.gauge('catalogue_version', self._follower.version)
+        self.tally.gauge('catalogue_version', self._feed.version)
         self.tally.gauge('known_entries', len(self._fresh_peers()) + 1)
         self.tally.gauge('agent_sessions', len(self._agent_names))
         if self._term is not None:
             self._term.leader.update_gauges()
-        return '\n'.join([*self.tally.lines(), ''])
+        return self.tally.text()
 
     # Life
 
@@ -180,7 +177,7 @@
             self._connect(address)
         for work in (
             self._receive(),
-            self._follower.run(),
+            self._feed.run(),
             self._send_notices(),
             self._watch_leader(),
             self._registration.run(),
@@ -281,7 +278,7 @@
             self._heard_leader_ms = now_ms
             if notice.is_stopping:
                 self._heard_leader_ms = now_ms - self._election.silent_ms
-        if notice.catalogue_version > self._follower.version:
+        if notice.catalogue_version > self._feed.version:
             self._fetch_catalogue(sender)
 
     def _follow(self, record: election.LeaderRecord) -> None:
@@ -312,7 +309,7 @@
         finally:
             self._is_fetching = False
         if answer.is_ok() and answer.unwrap():
-            self._follower.offer_packed(answer.unwrap(), peer)
+            self._feed.offer_packed(answer.unwrap(), peer)
 
     def _fresh_peers(self) -> list[str]:
         """Return the entries that were heard lately, by name."""
@@ -334,7 +331,7 @@
             self._record.generation,
             self._term is not None,
             self._is_stopping,
-            self._follower.version,
+            self._feed.version,
             [str(address) for address in self._addresses],
         )
 
@@ -391,7 +388,7 @@
                 found = self._term.leader.explain(call.argument)
                 return Ok(orjson.dumps(found))
             case calls.CallKind.CATALOGUE:
-                return Ok(self._follower.pack())
+                return Ok(self._feed.pack())
             case calls.CallKind.STORE:
                 return await self._relay_store(call.body)
 
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -162,6 +162,20 @@
         """Return what may be shown of a job, if it is known."""
         return self._ledger.shown_state(job_id)
 
+    def _record(self, event: str, run: ActiveRun, **fields: t.Any) -> None:
+        """Log a decision on a run, and keep it.
+
+        :param fields: what decided it, and the outcome.
+        """
+        self._decisions.record(
+            event,
+            run.job.job_id,
+            task=run.name,
+            run=run.run.number,
+            worker=run.run.worker,
+            **fields,
+        )
+
     def explain(self, job_id: str) -> list[dict[str, t.Any]]:
         """Return what this leader has decided about a job, in order."""
         return self._decisions.of(job_id)
@@ -372,12 +386,9 @@
                 )
                 run.progress_ms = now_ms
                 run.sent_sequence = run.sent_sequence or link.sequence or 1
-                self._decisions.record(
+                self._record(
                     'run confirmed',
-                    run.job.job_id,
-                    task=run.name,
-                    run=run.run.number,
-                    worker=run.run.worker,
+                    run,
                     after_ms=now_ms - run.started_ms,
                 )
             run.listed_ms = now_ms
@@ -426,12 +437,9 @@
         how = _run_end(end.how)
         self._tally.count('runs_ended_total', how.value)
         job, task = run.job, run.task
-        self._decisions.record(
+        self._record(
             'run ended',
-            job.job_id,
-            task=run.name,
-            run=run.run.number,
-            worker=run.run.worker,
+            run,
             how=how.value,
             failures=task.failures,
             progress=run.progress,
@@ -578,12 +586,9 @@
             return
         run.is_stopping = True
         self._tally.count('runs_stopped_total', reason.partition(' ')[0])
-        self._decisions.record(
+        self._record(
             'run stopping',
-            run.job.job_id,
-            task=run.name,
-            run=run.run.number,
-            worker=run.run.worker,
+            run,
             reason=reason,
             progress=run.progress,
             lost_core_s=round(
@@ -615,12 +620,9 @@
         """Give up a run that has certainly not started or is over."""
         if run.task.run != run.run:
             return
-        self._decisions.record(
+        self._record(
             'run void',
-            run.job.job_id,
-            task=run.name,
-            run=run.run.number,
-            worker=run.run.worker,
+            run,
             reason=reason,
         )
         link = self._link_by_key.get(run.home)
@@ -763,12 +765,9 @@
         )
         self._run_by_key[run.key] = run
         room.run_by_key[run.key] = run
-        self._decisions.record(
+        self._record(
             'run planned',
-            job.job_id,
-            task=run.name,
-            run=number,
-            worker=room.worker,
+            run,
             free_accelerators=room.free_accelerators,
             free_cpu=room.free_cpu,
         )
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/process/runner.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/process/runner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import functools
 import itertools
 import random
 import secrets
@@ -28,8 +29,8 @@
 from ..connection import problems
 from . import core as cores
 from . import entry_metrics
+from ..jobs import configuration_feed
 from ..jobs import entry as job_entry
-from ..jobs import stored_catalogue
 from . import settings as entry_settings
 
 TICK_MS = 100
@@ -72,7 +73,7 @@
         self._is_stop_requested = False
         self._metrics = entry_metrics.EntryMetrics()
         self._listening = settings
-        self._jobs = _job_entry(settings, clock, store)
+        self._jobs = self._make_job_entry()
 
     @classmethod
     def from_settings(
@@ -120,6 +121,26 @@
         """Return the time that the core goes by."""
         return self._clock.now_ms()
 
+    def _make_job_entry(self) -> job_entry.JobEntry | None:
+        """Build the part that serves jobs, if the settings have one."""
+        settings = self._settings
+        if settings.jobs is None:
+            return None
+        return job_entry.JobEntry.from_parts(
+            job_entry.EntryIdentity(
+                settings.name,
+                settings.jobs.listen,
+                settings.secret.encode(),
+                settings.jobs.entries,
+            ),
+            self._store,
+            functools.partial(
+                configuration_feed.ConfigurationFeed,
+                lambda: self.configuration,
+            ),
+            clock=self._clock,
+        )
+
     async def wait_started(self) -> None:
         """Wait until every listener is open."""
         await self._started.wait()
@@ -314,24 +335,3 @@
                 next_wall_ms += WALL_TIME_INTERVAL_MS
                 wall = effects.WallTime(self._clock.wall_ms())
                 self._inbox.put_nowait(wall)
-
-
-def _job_entry(
-    settings: entry_settings.EntrySettings,
-    clock: clocks.Clock,
-    store: stores.Store,
-) -> job_entry.JobEntry | None:
-    """Build the part that serves jobs, if the settings have one."""
-    if settings.jobs is None:
-        return None
-    return job_entry.JobEntry.from_parts(
-        job_entry.EntryIdentity(
-            settings.name,
-            settings.jobs.listen,
-            settings.secret.encode(),
-            settings.jobs.entries,
-        ),
-        store,
-        stored_catalogue.StoredCatalogue(),
-        clock=clock,
-    )
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/request/intake.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/request/intake.py
@@ -13,6 +13,8 @@
 
 DEMAND_HEADER = 'mulberryloom-demand'
 DEADLINE_HEADER = 'mulberryloom-deadline-ms'
+KEY_HEADER = 'idempotency-key'
+MAX_KEY_CHARACTERS = 255
 MAX_AMOUNT = 1_000_000_000
 MAX_DEADLINE_MS = 30 * 24 * 3_600_000
 
@@ -36,7 +38,7 @@
     configuration: configurations.Configuration,
 ) -> Result[messages.Work, exceptions.Error]:
     """Check a caller's request and return its work."""
-    found = _find_method(account, service_name, method_name, configuration)
+    found = find_method(account, service_name, method_name, configuration)
     if isinstance(found, Err):
         return found
     method = found.ok_value
@@ -45,7 +47,7 @@
     if isinstance(override, Err):
         return override
     deadline_text = headers.get(DEADLINE_HEADER, str(method.deadline_ms))
-    deadline = _parse_amount(DEADLINE_HEADER, deadline_text, MAX_DEADLINE_MS)
+    deadline = parse_amount(DEADLINE_HEADER, deadline_text, MAX_DEADLINE_MS)
     if isinstance(deadline, Err):
         return deadline
     if not deadline.ok_value:
@@ -70,12 +72,13 @@
     )
 
 
-def _find_method(
+def find_method(
     account: configurations.ClientAccount,
     service_name: str,
     method_name: str,
     configuration: configurations.Configuration,
 ) -> Result[configurations.Method, exceptions.Error]:
+    """Return a method, if the account may call it now."""
     service = configuration.services_by_name.get(service_name)
     if service is None:
         return Err(_error(_Kind.UNKNOWN_SERVICE, service_name))
@@ -128,7 +131,7 @@
             return Err(_malformed(f'adjacency: expected one of {known}'))
         demand = dataclasses.replace(override.demand, adjacency=adjacency)
         return Ok(dataclasses.replace(override, demand=demand))
-    amount = _parse_amount(name, value, MAX_AMOUNT)
+    amount = parse_amount(name, value, MAX_AMOUNT)
     if isinstance(amount, Err):
         return amount
     if name == 'run-ms':
@@ -143,9 +146,10 @@
     return Ok(dataclasses.replace(override, demand=demand))
 
 
-def _parse_amount(
+def parse_amount(
     name: str, text: str, limit: int
 ) -> Result[int, exceptions.Error]:
+    """Parse a whole number that a header or a part of it holds."""
     is_number = text.isascii() and text.isdecimal() and len(text) < 20
     if not is_number or int(text) > limit:
         detail = f'{name}: expected a whole number up to {limit}'
@@ -153,6 +157,18 @@
     return Ok(int(text))
 
 
+def read_key(
+    request: http_types.HttpRequest,
+) -> Result[str, exceptions.Error]:
+    """Return the idempotency key of a request; empty without one."""
+    key = request.headers_by_name.get(KEY_HEADER, '').strip()
+    if len(key) > MAX_KEY_CHARACTERS:
+        return Err(
+            _malformed(f'{KEY_HEADER}: over {MAX_KEY_CHARACTERS} characters')
+        )
+    return Ok(key)
+
+
 def _malformed(detail: str) -> exceptions.Error:
     return _error(_Kind.MALFORMED_REQUEST, detail)
 
--- a/packages/mulberryloom-entry/tests/test_job_callers.py
+++ b/packages/mulberryloom-entry/tests/test_job_callers.py
@@ -9,7 +9,7 @@
 from mulberryloom_core.request import jobs
 from mulberryloom_core.version import configuration as configurations
 from mulberryloom_entry.connection import job_callers
-from mulberryloom_entry.jobs import stored_catalogue
+from mulberryloom_entry.jobs import configuration_feed
 from result import Err
 from result import Ok
 
@@ -63,7 +63,7 @@
 
     def __init__(self, document):
         self.configuration = document
-        catalogue = stored_catalogue.from_configuration(document)
+        catalogue = configuration_feed.from_configuration(document)
         self.service = FakeService(catalogue)
         self._callers = job_callers.JobCallers(self.service)
 
@@ -161,6 +161,33 @@
     assert not desk.service.intake.job_by_id
 
 
+def test_headers_that_cannot_be_read_are_told():
+    desk = Desk(_configuration())
+    for headers in (
+        {'mulberryloom_deadline_ms': 'soon'},
+        {'idempotency_key': 'k' * 256},
+    ):
+        response, problem = desk.send('POST', '/v1/jobs', JOB, **headers)
+        assert response.status == 400
+        assert problem['kind'] == Kind.MALFORMED_REQUEST.value
+    assert not desk.service.intake.job_by_id
+
+
+def test_the_catalogue_follows_the_configuration_of_the_process():
+    configuration = configurations.Configuration.empty()
+    seen = []
+    feed = configuration_feed.ConfigurationFeed(
+        lambda: configuration, None, lambda found: seen.append(found.version)
+    )
+    feed.look()
+    assert (feed.version, feed.catalogue) == (-1, None)
+    configuration = _configuration()
+    feed.look()
+    feed.look()
+    assert seen == [1]
+    assert list(feed.catalogue.queue_by_name) == ['rental/fit']
+
+
 def test_a_refusal_says_when_to_come_back():
     desk = Desk(_configuration())
     desk.service.intake.error = exceptions.Error.from_kind(
@@ -189,4 +216,4 @@
     job = desk.service.intake.job_by_id[accepted['job_id']]
     found = job_records.decode(job_records.encode(job)).unwrap()
     assert (found.terms.account, found.terms.priority) == ('accra', 0)
-    assert found.terms.max_attempts == stored_catalogue.MAX_ATTEMPTS
+    assert found.terms.max_attempts == configuration_feed.MAX_ATTEMPTS
--- a/packages/mulberryloom-entry/tests/test_job_entry.py
+++ b/packages/mulberryloom-entry/tests/test_job_entry.py
@@ -5,6 +5,8 @@
 from mulberryloom_core import clock as clocks
 from mulberryloom_core import identity
 from mulberryloom_core import store
+from mulberryloom_core.version import configuration as configurations
+from mulberryloom_entry.jobs import configuration_feed
 from mulberryloom_entry.jobs import election
 from mulberryloom_entry.jobs import entry as entries
 from mulberryloom_entry.jobs import keys
@@ -21,19 +23,18 @@
         return self.core.handle(request, 0)
 
 
-class NoConfiguration:
-    """A source that is never asked."""
-
-    key = 'config'
+def _make_feed(job_store, on_change):
+    """Return a feed without any configuration."""
+    return configuration_feed.ConfigurationFeed(
+        configurations.Configuration.empty, job_store, on_change
+    )
 
 
 def _entry(direct, clock):
     me = entries.EntryIdentity(
         'vm', identity.Address('127.0.0.1', 1), b'secret-of-a-deployment'
     )
-    return entries.JobEntry.from_parts(
-        me, direct, NoConfiguration(), clock=clock
-    )
+    return entries.JobEntry.from_parts(me, direct, _make_feed, clock=clock)
 
 
 def _lead(direct, name):
--- a/packages/mulberryloom-entry/tests/test_job_term.py
+++ b/packages/mulberryloom-entry/tests/test_job_term.py
@@ -8,19 +8,6 @@
 PLAN_MS = 60
 
 
-class ManualClock(clocks.SystemClock):
-    """Clock that only moves when it is told to."""
-
-    def __init__(self):
-        self.time_ms = 1_000
-
-    def now_ms(self):
-        return self.time_ms
-
-    def wall_ms(self):
-        return self.time_ms
-
-
 class SlowLeader:
     """Leader whose plans take their time."""
 
@@ -36,7 +23,7 @@
 
     def plan(self, now_ms, wall_ms):
         self.plans += 1
-        self._clock.time_ms += PLAN_MS
+        self._clock.advance(PLAN_MS)
 
     def take_orders(self, now_ms):
         return []
@@ -46,20 +33,20 @@
     """News come all the time, as from a large and busy fleet."""
 
     async def run():
-        clock = ManualClock()
+        clock = clocks.ManualClock(1_000)
         leader = SlowLeader(clock)
         term = terms.Term(leader, None, None, clock, 0)
         task = asyncio.create_task(term._run_clockwork())
-        began_ms = clock.time_ms
-        while clock.time_ms - began_ms < 10_000:
-            clock.time_ms += 5
+        began_ms = clock.now_ms()
+        while clock.now_ms() - began_ms < 10_000:
+            clock.advance(5)
             term.wake()
             await asyncio.sleep(0)
         term.end()
         await task
         # The pause after the last plan is not over.
         finished = leader.plans - 1
-        return finished * PLAN_MS / (clock.time_ms - began_ms)
+        return finished * PLAN_MS / (clock.now_ms() - began_ms)
 
     share = asyncio.run(run())
     assert 0.1 < share <= 1 / (1 + terms.PLAN_REST_FACTOR)
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/worker.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/worker.py
@@ -76,7 +76,7 @@
         self._offset_ms = clock_offset_ms
         self._lease_limit_ms = lease_limit_ms
         self._lease_end_ms = 0
-        self._token = 0
+        self._generation = 0
         self._barred_by_task: dict[str, int] = {}
         self._last_end = 0
         self._observed = 0
@@ -108,9 +108,8 @@
     def start(self, call: runner.StartCall, now_ms: int) -> runner.CallReply:
         """Carry out an order to start."""
         clock_ms = self.clock_ms(now_ms)
-        if call.generation < self._token:
+        if self._is_fenced(call.generation):
             return runner.CallReply(runner.CallStatus.FENCED, clock_ms)
-        self._token = call.generation
         task, number = call.start.task, call.start.run_number
         present = self.run_by_task.get(task)
         if present is not None and present.number == number:
@@ -130,9 +129,8 @@
     def stop(self, call: runner.StopCall, now_ms: int) -> runner.CallReply:
         """Carry out an order to stop."""
         clock_ms = self.clock_ms(now_ms)
-        if call.generation < self._token:
+        if self._is_fenced(call.generation):
             return runner.CallReply(runner.CallStatus.FENCED, clock_ms)
-        self._token = call.generation
         task, number = call.run.task, call.run.run_number
         present = self.run_by_task.get(task)
         if present is not None and present.number == number:
@@ -144,9 +142,8 @@
     def hold(self, call: runner.HoldCall, now_ms: int) -> runner.HoldReply:
         """Renew the lease and return both lists."""
         clock_ms = self.clock_ms(now_ms)
-        if call.generation < self._token:
+        if self._is_fenced(call.generation):
             return runner.HoldReply(runner.CallStatus.FENCED, clock_ms)
-        self._token = call.generation
         if call.deadline_ms:
             self._extend(call.deadline_ms, clock_ms)
         self._observed = max(self._observed, call.observed)
@@ -168,6 +165,13 @@
             tuple(self.ends),
         )
 
+    def _is_fenced(self, generation: int) -> bool:
+        """Whether a higher generation was seen; notes this one if not."""
+        if generation < self._generation:
+            return True
+        self._generation = generation
+        return False
+
     def _extend(self, deadline_ms: int, clock_ms: int) -> None:
         latest_ms = clock_ms + self._lease_limit_ms
         end_ms = min(deadline_ms, latest_ms)
