Remember a possible run that ends as an idempotency key in use

Cause: Request.judge returned before it noted that an attempt may have run when the attempt of a request without an idempotency key ended with idempotency-key-in-use and an unknown run; a later refusal then said that the request had not run. Change: judge notes the possible run before it looks at the kind of the error. Test: the failing case is now an explicit example of the property; it failed before the change. Ruled out: the refusal itself, which is corrected wherever has_run is set.

--- a/packages/mulberryloom-entry/src/mulberryloom_entry/request/lifecycle.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/request/lifecycle.py
@@ -195,6 +195,7 @@
         error = outcome.error
         if error is None:
             return outcome
+        self.has_run = self.has_run or error.ran is not _Ran.NO
         if (
             error.kind is _Kind.IDEMPOTENCY_KEY_IN_USE
             and not self.has_idempotency_key
@@ -203,7 +204,6 @@
             return None
         if error.ran is _Ran.NO:
             return self._judge_refusal(outcome, error, now)
-        self.has_run = True
         self.failed_attempts += 1
         if error.kind is _Kind.CANCELLED and now >= self.deadline_at_ms:
             return failure(_Kind.DEADLINE_PASSED, ran=error.ran)
--- a/packages/mulberryloom-entry/tests/test_retries.py
+++ b/packages/mulberryloom-entry/tests/test_retries.py
@@ -2,6 +2,7 @@
 
 import random
 
+from hypothesis import example
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies
@@ -95,6 +96,13 @@
     strategies.lists(strategies.tuples(ERROR_KINDS, RAN_VALUES), max_size=12),
     strategies.booleans(),
 )
+@example(
+    [
+        (Kind.IDEMPOTENCY_KEY_IN_USE, Ran.UNKNOWN),
+        (Kind.MALFORMED_REQUEST, Ran.NO),
+    ],
+    False,
+)
 def test_judge_never_denies_an_earlier_run(failures, is_idempotent):
     """No final outcome says "not run" after an attempt that may have run.
 
