Accept the success of a run that the leader has already repeated

The leader started the task anew; the first run had ended with success during the freeze, and its end was then ignored, since the task had a later run. The step waited for work that was done. Change: a listed success counts at any later time, for gangs as well, and the runs that repeat it are stopped; their failure no longer counts against the job. An agent that was suspended gives its worker 400 ms to reply before it reports the lease as expired. Tests: three in test_job_leader and test_worker_supervisor fail without the change.

--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
@@ -42,6 +42,10 @@
         has not acknowledged all ended runs.
     :param retry_delay_ms: delay before a call without a reply is repeated.
     :param report_interval_ms: interval between reports without changes.
+    :param suspension_ms: gap between two rounds of calls from which the
+        agent counts as having been suspended.
+    :param resumption_ms: time after a suspension in which the worker may
+        reply before its lease counts as expired.
     """
 
     lease_ms: int = 6_000
@@ -52,6 +56,8 @@
     poll_interval_ms: int = 300
     retry_delay_ms: int = 150
     report_interval_ms: int = 900
+    suspension_ms: int = 1_000
+    resumption_ms: int = 400
 
 
 @dataclasses.dataclass(slots=True)
@@ -126,6 +132,8 @@
         self._lease_end_ms = now_ms + options.lease_ms
         self._last_reply_ms = now_ms
         self._has_left = False
+        self._last_round_ms = now_ms
+        self._resumed_ms = now_ms - options.resumption_ms
         self._report_due_ms = now_ms
         self._has_unreported_changes = True
 
@@ -426,6 +434,9 @@
 
     def due_calls(self, now_ms: int) -> list[Call]:
         """Return the calls to the worker that are due."""
+        if now_ms - self._last_round_ms >= self._options.suspension_ms:
+            self._resumed_ms = now_ms
+        self._last_round_ms = now_ms
         if self.info is None or not self.generation or self._has_left:
             return []
         self._drop_expired_starts(now_ms)
@@ -564,12 +575,19 @@
         )
 
     def _can_run(self, now_ms: int) -> bool:
-        """Whether a run may still be running on the worker."""
+        """Whether a run may still be running, or its end be unknown.
+
+        After a suspension of the agent the lists are as old as the
+        suspension, so the worker gets time to reply: its runs may have ended
+        before the lease expired.
+        """
         if self._has_left:
             return False
         if self._is_worker_responsive(now_ms):
             return True
         options = self._options
+        if now_ms - self._resumed_ms < options.resumption_ms:
+            return True
         # Added to the lease: 2 % of its duration, and the margin for clock
         # differences.
         slack_ms = options.lease_ms // 50 + options.margin_ms
--- a/packages/mulberryloom-agent/tests/test_worker_supervisor.py
+++ b/packages/mulberryloom-agent/tests/test_worker_supervisor.py
@@ -247,3 +247,48 @@
     agent.supervisor.follow(GENERATION + 1, agent.now_ms)
     agent.order(starts=[START])
     assert agent.calls(worker_calls.StartCall) == []
+
+
+def _resume_after_lease(agent):
+    """Suspend the agent beyond its worker's lease.
+
+    Returns the hold call and the report that follow the suspension.
+    """
+    (hold,) = agent.calls()
+    agent.supervisor.on_hold_reply(
+        hold, _hold_reply(agent.now_ms, [1]), agent.now_ms
+    )
+    agent.now_ms += 8_000
+    (hold,) = agent.calls()
+    return hold, agent.supervisor.take_report(agent.now_ms)
+
+
+def test_resumed_agent_awaits_the_lists_before_it_reports_expiry():
+    """The worker went on while its agent was frozen and has ended the run."""
+    agent = Agent()
+    agent.order(starts=[START])
+    hold, report = _resume_after_lease(agent)
+    assert report.is_alive
+    agent.now_ms += 5
+    done = messages.EndedTask(1, START.task, 1, 'done', '')
+    agent.supervisor.on_hold_reply(
+        hold, _hold_reply(agent.now_ms, ended=[done]), agent.now_ms
+    )
+    report = agent.supervisor.take_report(agent.now_ms)
+    assert report.is_alive
+    assert report.ended == [done]
+
+
+def test_resumed_agent_reports_expiry_of_a_silent_worker():
+    agent = Agent()
+    agent.order(starts=[START])
+    _resume_after_lease(agent)
+    options = worker_supervisor.WorkerSupervisorOptions()
+    deadline_ms = agent.now_ms + options.resumption_ms
+    while agent.now_ms < deadline_ms:
+        agent.now_ms += 100
+        agent.calls()
+    report = agent.supervisor.take_report(
+        agent.now_ms + options.report_interval_ms
+    )
+    assert not report.is_alive
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -523,9 +523,10 @@
     ) -> None:
         """Process the end of a run that was discarded.
 
-        A late success counts if the task has not been started again. The
-        end is acknowledged only after a write of the job, which proves
-        that this leader was not superseded when it discarded the run.
+        A success counts even if the task has been started again; the later
+        run is then stopped. The end is acknowledged only after a write of
+        the job, which proves that this leader was not superseded when it
+        discarded the run.
         """
         parsed = jobs.parse_task_name(end.task)
         job = self._records.find(parsed[0]) if parsed else None
@@ -533,10 +534,7 @@
             return
         task = job.task_by_key.get(parsed[1])
         if task is not None and self._is_late_success(job, task, end):
-            self._decision_log.record(
-                'late success accepted', job.job_id, task=end.task
-            )
-            task.is_done = True
+            self._accept_late_success(job, task, end)
             self._end_job_if_final(job, wall_ms)
         link.unrecorded_end_sequences.add(end.sequence)
         event = record_cache.EndRecorded(*link.key, end.sequence)
@@ -549,23 +547,38 @@
         return (
             end.how == jobs.RunEnd.DONE.value
             and not task.is_done
-            and task.run is None
-            and task.last_run == end.run_number
+            and end.run_number <= task.last_run
             and not job.state.is_final
-            and not job.step_of(task.key).is_gang
             and not job.step_of(task.key).is_lasting
         )
 
+    def _accept_late_success(
+        self, job: jobs.Job, task: jobs.Task, end: messages.EndedTask
+    ) -> None:
+        """Mark a task done, or its gang, and stop the runs that repeat it."""
+        self._decision_log.record(
+            'late success accepted',
+            job.job_id,
+            task=end.task,
+            run=end.run_number,
+            last_run=task.last_run,
+        )
+        for done_task in _tasks_done_together(job, task):
+            done_task.is_done = True
+            if done_task.run is not None:
+                repeated = self._find_run(job, done_task)
+                if repeated is not None:
+                    self._stop_run(repeated, 'repeats a run that was done')
+
     def _on_run_done(self, run: ActiveRun) -> None:
         if run.step.is_lasting:
             return
-        run.task.is_done = True
-        if run.step.is_gang:
-            key = run.task.key
-            for task in run.job.tasks_of(key.repetition, key.step):
-                task.is_done = True
+        for task in _tasks_done_together(run.job, run.task):
+            task.is_done = True
 
     def _on_run_failed(self, run: ActiveRun) -> None:
+        if run.task.is_done:
+            return
         job, key = run.job, run.task.key
         if run.step.is_gang:
             gang = (job.job_id, key.repetition, key.step)
@@ -876,6 +889,17 @@
         return orders
 
 
+def _tasks_done_together(job: jobs.Job, task: jobs.Task) -> list[jobs.Task]:
+    """Return the tasks that the success of one task completes.
+
+    The members of a gang end together, so that the success of one stands for
+    all of them.
+    """
+    if not job.step_of(task.key).is_gang:
+        return [task]
+    return job.tasks_of(task.key.repetition, task.key.step)
+
+
 def _parse_run_end(value: str) -> jobs.RunEnd:
     try:
         return jobs.RunEnd(value)
--- a/packages/mulberryloom-entry/tests/test_job_leader.py
+++ b/packages/mulberryloom-entry/tests/test_job_leader.py
@@ -50,7 +50,7 @@
             found['is_listed'],
             found['is_alive'],
             [messages.RunningTask(TASK, run, '', 0) for run in running],
-            [],
+            list(found.get('ended', ())),
             [],
         )
         self.leader.on_report(node, report, self.now_ms, self.now_ms)
@@ -243,6 +243,48 @@
     assert harness.started_runs() == [2]
 
 
+def _job_state(harness):
+    return harness.leader.job_state(JOB_ID)
+
+
+def test_late_success_stops_the_run_that_repeats_it():
+    """An agent that was frozen reports the expired lease before the end.
+
+    The leader has started the task again by the time at which the end of
+    the first run is listed.
+    """
+    harness = _harness_with_running_job()
+    sequence = harness.orders[0].sequence
+    harness.report(running=[1], sequence=sequence)
+    harness.report(sequence=sequence, is_alive=False)
+    harness.report(sequence=sequence)
+    harness.advance()
+    assert harness.started_runs() == [2]
+    done = messages.EndedTask(1, TASK, 1, 'done', '')
+    harness.report(
+        running=[2], sequence=harness.orders[0].sequence, ended=[done]
+    )
+    harness.advance()
+    assert harness.stopped_runs() == [2]
+    assert _job_state(harness) is jobs.JobState.COMPLETED
+
+
+def test_repeated_run_that_fails_does_not_fail_the_done_job():
+    harness = _harness_with_running_job()
+    sequence = harness.orders[0].sequence
+    harness.report(running=[1], sequence=sequence)
+    harness.report(sequence=sequence, is_alive=False)
+    harness.report(sequence=sequence)
+    harness.advance()
+    ends = [
+        messages.EndedTask(1, TASK, 1, 'done', ''),
+        messages.EndedTask(2, TASK, 2, 'failed', ''),
+    ]
+    harness.report(sequence=harness.orders[0].sequence, ended=ends)
+    harness.advance()
+    assert _job_state(harness) is jobs.JobState.COMPLETED
+
+
 def test_write_conflict_deposes_superseded_leader():
     harness = LeaderHarness()
     harness.report()
