Keep the claim of an open attempt when its account changes owner

A request that may run once was queued at its caller's own entry, which owned the account, and started there. When another entry became the owner, submit_to_owner released the claim of this entry, for whose attempt an agent was running the request; the new owner found no claim and started it a second time. Change: a claim is released on the way to an owner only if no owner had the request before. An owner that loses an account releases the claims of the jobs that it drops without an open attempt. Test: test_claim_of_open_attempt_survives_a_change_of_owner fails without the change.

--- a/packages/mulberryloom-entry/src/mulberryloom_entry/process/dispatch.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/process/dispatch.py
@@ -298,7 +298,8 @@
         """Drop the jobs of an account that has a new owner.
 
         Attempts of work that is not idempotent continue here, since their
-        claims in the store name this entry.
+        claims in the store name this entry. The claims of other jobs are
+        released, so that the new owner can claim them.
         """
         for owned_job in self._jobs.of_account(account):
             attempt = self._context.attempts.find(owned_job.request_id)
@@ -314,6 +315,7 @@
                 self._planner.record_ended(
                     owned_job.request_id, superseded, now
                 )
+            self._context.claims.release(owned_job.request)
             self._jobs.drop(owned_job)
 
     def _end_overdue(self, owned_job: OwnedJob, now: int) -> None:
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/process/requests.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/process/requests.py
@@ -216,13 +216,17 @@
         if request.owner:
             # The previous owner may have started it.
             request.has_run = True
+        elif owner != self._context.name:
+            # No attempt of this entry is open, so that no agent may start the
+            # request by this entry's claim any more. A previous owner
+            # releases its own claim, once its attempt has ended.
+            self._context.claims.release(request)
         request.owner = owner
         work = request.work_with_remaining_deadline(now)
         submission = messages.SubmitWork(work, request.is_journaled)
         if owner == self._context.name:
             self._dispatcher.on_submit(submission, owner, now)
         else:
-            self._context.claims.release(request)
             self._send_entry(owner, submission)
         if request.is_cancelled:
             self._cancel_at_owner(request, now)
--- a/packages/mulberryloom-entry/tests/test_owner_path.py
+++ b/packages/mulberryloom-entry/tests/test_owner_path.py
@@ -7,7 +7,9 @@
 from mulberryloom_core import shapes
 import mulberryloom_entry as entry
 
+from mulberryloom_entry.process import fast_path
 from mulberryloom_entry.process import records
+from mulberryloom_entry.process import shards
 
 Kind = exceptions.ErrorKind
 Ran = exceptions.Ran
@@ -115,6 +117,39 @@
     assert len(region.runs()) == 1
 
 
+def _submit_to_own_owner(region, name):
+    """Have the fast path of the owner give a request to its own queue."""
+    for agent in region.agents.values():
+        agent.refusals = [Kind.NO_CAPACITY] * fast_path.MAX_REFUSALS
+    call = region.submit(name, 'review', key='parcel-1')
+    region.run(300)
+    for agent in region.agents.values():
+        agent.refusals = []
+    return call
+
+
+def test_claim_of_open_attempt_survives_a_change_of_owner(
+    make_region, monkeypatch
+):
+    """Its caller's entry is the previous owner, whose agent runs it."""
+    region = make_region(entries=2)
+    for agent in region.agents.values():
+        agent.run_ms = 8_000
+    name = owner_of(region)
+    call = _submit_to_own_owner(region, name)
+    region.run(2_000)
+    assert len(region.runs()) == 1
+    new_owner = other_entry(region, name)
+    monkeypatch.setattr(
+        shards.Shards, 'owner_of', lambda _self, _account: new_owner
+    )
+    region.run(4_000)
+    assert keys_with_prefix(region, records.CLAIMS_PREFIX)
+    region.run(10_000)
+    assert region.answers[call].error is None
+    assert len(region.runs()) == 1
+
+
 def test_owner_keeps_jobs_while_reclaiming_superseded_shard(make_region):
     """A higher epoch is known, but the entry is still the designated owner.
 
