Allow one open attempt of a request at an entry

A keyed request came to an entry from its caller, by the fast path, and to its owner side from another entry; both began an attempt under the same request id, the second one replaced the first in the registry, and the first caller had no answer. Change: while an attempt of a request is open, a second one is refused as an idempotency key in use; the owner queues the job again, the caller may retry. A takeover adopts no run of a request with an open attempt.

--- a/packages/mulberryloom-entry/src/mulberryloom_entry/process/takeover.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/process/takeover.py
@@ -137,6 +137,8 @@
     def _adopt_running(
         self, owned_job: 'owned_jobs.OwnedJob', now: int
     ) -> None:
+        if self._context.attempts.find(owned_job.request_id) is not None:
+            return
         for view in self._context.membership.workers_by_name.values():
             tasks = view.state.tasks if view.state is not None else []
             for task in tasks:
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/request/attempts.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/request/attempts.py
@@ -88,16 +88,23 @@
         listener: Listener,
         now: int,
         epoch: identity.Epoch | None = None,
-    ) -> Attempt:
+    ) -> Attempt | None:
         """Begin an attempt.
 
         An idempotent request is sent at once, any other one only after it
-        has been claimed in the store.
+        has been claimed in the store. The callers of this entry and its
+        owner side may hold the same request, by its idempotency key: while
+        one of them has an attempt open, those of the other are refused.
 
         :param members: worker and agent incarnation of each member; the
             first member coordinates.
         :param epoch: epoch of the account's shard; required for a gang.
+        :return: ``None`` if another attempt of the request is open.
         """
+        if request.request_id in self._attempts_by_id:
+            in_use = lifecycle.failure(_Kind.IDEMPOTENCY_KEY_IN_USE)
+            listener.on_attempt_ended(request, in_use, members[0].worker, now)
+            return None
         number = self._next_attempt_number
         self._next_attempt_number += 1
         attempt = Attempt(request, number, members, listener, epoch)
--- a/packages/mulberryloom-entry/tests/test_owner_path.py
+++ b/packages/mulberryloom-entry/tests/test_owner_path.py
@@ -10,6 +10,7 @@
 from mulberryloom_entry.process import fast_path
 from mulberryloom_entry.process import records
 from mulberryloom_entry.process import shards
+from mulberryloom_entry.request import lifecycle
 
 Kind = exceptions.ErrorKind
 Ran = exceptions.Ran
@@ -150,6 +151,45 @@
     assert len(region.runs()) == 1
 
 
+class RecordingListener:
+    """Listener of an attempt that keeps the outcomes."""
+
+    def __init__(self):
+        self.outcomes = []
+
+    def on_started(self, _request, _now):
+        pass
+
+    def on_attempt_ended(self, _request, outcome, _worker, _now):
+        self.outcomes.append(outcome)
+
+
+def test_request_has_one_open_attempt_at_an_entry(make_region):
+    """A caller and another entry may bring the same keyed request.
+
+    A second attempt under the request id would replace the first one, whose
+    caller would never be answered.
+    """
+    region = make_region()
+    context = region.cores['entry-1'].context
+    work = messages.Work(
+        'k-1', 'accra', 'rental', 'fit', shapes.RequestClass.INTERACTIVE,
+        shapes.Demand(), deadline_ms=30_000,
+    )  # fmt: skip
+    listeners = [RecordingListener(), RecordingListener()]
+    for listener, worker in zip(listeners, ['w0', 'w1'], strict=True):
+        region.agents[worker].is_silent = True
+        request = lifecycle.Request.from_work(work, region.now)
+        member = messages.GangMember(worker, 1, '127.0.0.1:9', 1)
+        context.attempts.begin(request, [member], listener, region.now)
+    assert [o.error.kind for o in listeners[1].outcomes] == [
+        Kind.IDEMPOTENCY_KEY_IN_USE
+    ]
+    context.attempts.on_worker_lost('w1', region.now)
+    context.attempts.on_worker_lost('w0', region.now)
+    assert [o.error.kind for o in listeners[0].outcomes] == [Kind.WORKER_LOST]
+
+
 def test_owner_keeps_jobs_while_reclaiming_superseded_shard(make_region):
     """A higher epoch is known, but the entry is still the designated owner.
 
