Plan overloaded fleets by the value of work, and keep gangs in one rack

Change: order within a priority by the apparent tardiness cost; a gang leaves its rack only if it is not expected to end earlier in one, and one that fits no rack counts with its longer duration; the share of the fleet that urgent jobs asked for in the last 12 s is not given to long work without checkpoints; wide steps have waves in their target; gangs with reserved capacity keep their place, reservations count the starts of the same round; guaranteed jobs preempt urgent work beyond the guarantee of others; a late urgent job counts a fifth, as the deployments state. Planning searches each earliest start once for a step, keeps lists of tasks and skips ended jobs.

--- a/packages/mulberryloom-core/src/mulberryloom_core/request/jobs.py
+++ b/packages/mulberryloom-core/src/mulberryloom_core/request/jobs.py
@@ -179,6 +179,9 @@
     is_cancelled: bool = False
     is_failed: bool = False
     ended_ms: int = 0
+    _tasks_by_step: dict[tuple[int, int], list[Task]] = dataclasses.field(
+        default_factory=dict, init=False, repr=False, compare=False
+    )
 
     @classmethod
     def from_spec(
@@ -220,12 +223,20 @@
         return self.spec.steps[key.step]
 
     def tasks_of(self, repetition: int, step_index: int) -> list[Task]:
-        """Return the tasks of one repetition of a step."""
-        step = self.spec.steps[step_index]
-        return [
-            self.task_by_key[TaskKey(repetition, step_index, index)]
-            for index in range(step.tasks)
-        ]
+        """Return the tasks of one repetition of a step.
+
+        The list is kept and must not be changed: planners ask for it many
+        times in each round.
+        """
+        tasks = self._tasks_by_step.get((repetition, step_index))
+        if tasks is None:
+            step = self.spec.steps[step_index]
+            tasks = [
+                self.task_by_key[TaskKey(repetition, step_index, index)]
+                for index in range(step.tasks)
+            ]
+            self._tasks_by_step[repetition, step_index] = tasks
+        return tasks
 
     def active_tasks(self) -> t.Iterator[Task]:
         """Yield the tasks that have a current run."""
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/intake.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/intake.py
@@ -159,6 +159,7 @@
             account=job.terms.account,
             priority=job.terms.priority,
             tasks=len(job.task_by_key),
+            steps=[_summarize(step) for step in job.spec.steps],
             revision=entry.revision,
             outcome=outcome,
         )
@@ -337,3 +338,15 @@
                 for job in stored_jobs
             )
         )
+
+
+def _summarize(step: jobs.Step) -> str:
+    """Return the size of a step for the log."""
+    gang = ' gang' if step.is_gang else ''
+    rack = ' in one rack' if step.is_same_rack else ''
+    checkpoints = ' with checkpoints' if step.is_checkpointed else ''
+    return (
+        f'{step.tasks} x {step.accelerators} accelerators, '
+        f'{step.cpu_millis} millicores, {step.estimate_ms} ms'
+        f'{gang}{rack}{checkpoints}'
+    )
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -756,9 +756,10 @@
             del self._known_job_ids[job_id]
             self._decision_log.forget(job_id)
             return
-        if not job.ended_ms or any(job.active_tasks()):
+        retention_ms = self._options.ended_job_retention_ms
+        if not job.ended_ms or wall_ms - job.ended_ms <= retention_ms:
             return
-        if wall_ms - job.ended_ms > self._options.ended_job_retention_ms:
+        if not any(job.active_tasks()):
             self._records.delete(job_id)
             del self._known_job_ids[job_id]
             self._decision_log.forget(job_id)
@@ -786,7 +787,12 @@
             if link.is_synced
         ]
         found = (self._records.find(job_id) for job_id in self._known_job_ids)
-        open_jobs = [job for job in found if job and not job.state.is_final]
+        # A job with an end is final; its tasks need not be looked at.
+        open_jobs = [
+            job
+            for job in found
+            if job and not job.ended_ms and not job.state.is_final
+        ]
         plan = self._planner.plan(
             open_jobs,
             capacities,
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/capacity.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/capacity.py
@@ -204,13 +204,13 @@
 
     The number is limited by the step's total and its limit per worker.
     """
-    counts = [step.tasks]
+    count = step.tasks
+    if step.accelerators:
+        count = min(count, accelerators // step.accelerators)
     if step.cpu_millis and not step.is_filler:
-        counts.append(cpu_millis // step.cpu_millis)
+        count = min(count, cpu_millis // step.cpu_millis)
     if step.memory_mb:
-        counts.append(memory_mb // step.memory_mb)
-    if step.accelerators:
-        counts.append(accelerators // step.accelerators)
+        count = min(count, memory_mb // step.memory_mb)
     if step.max_per_worker:
-        counts.append(step.max_per_worker)
-    return max(0, min(counts))
+        count = min(count, step.max_per_worker)
+    return max(0, count)
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/options.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/options.py
@@ -46,6 +46,8 @@
         racks.
     :param max_reservations: steps for which capacity is reserved at the
         same time.
+    :param least_share_of_others: share of the fleet on which work that is
+        not urgent may run even if urgent jobs ask for all of it.
     """
 
     spread_factor: float = 3.0
@@ -64,3 +66,4 @@
     drain_margin_ms: int = 500
     max_rack_wait_ms: int = 1_200
     max_reservations: int = 2
+    least_share_of_others: float = 0.125
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
@@ -20,6 +20,8 @@
 from .preemption import PreemptionPlanner
 from .reservation import Reservation
 from .reservation import ReservationFinder
+from .urgent_load import OtherCapacity
+from .urgent_load import UrgentLoad
 
 #: Minimum number of accelerators of a task for which capacity is reserved.
 _LARGE_TASK_ACCELERATORS = 4
@@ -73,6 +75,8 @@
 
     :param tasks: the tasks without a run.
     :param waited_ms: time since the step became pending.
+    :param reservation_by_key: earliest starts that were searched for, by
+        number of tasks and whether all have to share a rack.
     """
 
     job: jobs.Job
@@ -81,6 +85,9 @@
     step: jobs.Step
     tasks: list[jobs.Task]
     waited_ms: int
+    reservation_by_key: dict[tuple[int, bool], Reservation | None] = (
+        dataclasses.field(default_factory=dict)
+    )
 
 
 @dataclasses.dataclass(slots=True)
@@ -91,6 +98,7 @@
     :param wall_ms: Unix time.
     :param guaranteed_ids: ids of the guaranteed jobs.
     :param may_preempt: whether runs may be preempted.
+    :param other_capacity: capacity left for jobs that are not urgent.
     """
 
     workers: list[WorkerCapacity]
@@ -99,6 +107,7 @@
     wall_ms: int
     guaranteed_ids: set[str]
     may_preempt: bool
+    other_capacity: OtherCapacity
     plan: Plan = dataclasses.field(default_factory=Plan)
     reservations: list[Reservation] = dataclasses.field(default_factory=list)
 
@@ -115,10 +124,13 @@
         self._preemption_planner = PreemptionPlanner(options, self._estimator)
         self._reservation_finder = ReservationFinder(self._estimator)
         self._evacuation = Evacuation(options, self._estimator)
+        self._urgent_load = UrgentLoad(options)
         # By id of the job, repetition and index of the step.
         self._pending_since_by_step: dict[tuple[str, int, int], int] = {}
         # Sum of the costs of all preemptions for an open job.
         self._preemption_cost_by_job: dict[str, float] = {}
+        # Jobs with a gang for which the last round reserved capacity.
+        self._reserved_ids: set[str] = set()
 
     def plan(
         self,
@@ -142,12 +154,30 @@
             on draining workers and stalled runs are stopped in any case.
         """
         ordered_jobs = list(open_jobs)
-        self._estimator.begin_round(ordered_jobs)
+        self._estimator.begin_round(ordered_jobs, workers)
+        self._reservation_finder.begin_round()
         for worker in workers:
             worker.begin_round()
         guaranteed_ids = _guaranteed_ids(ordered_jobs, catalogue)
+        self._urgent_load.observe(ordered_jobs, wall_ms)
+        other_capacity = self._urgent_load.capacity_for_others(
+            workers,
+            (
+                run
+                for worker in workers
+                for run in worker.run_by_key.values()
+                if _blocks_urgent_jobs(run.job, run.step)
+            ),
+            wall_ms,
+        )
         state = _RoundState(
-            workers, catalogue, now_ms, wall_ms, guaranteed_ids, may_preempt
+            workers,
+            catalogue,
+            now_ms,
+            wall_ms,
+            guaranteed_ids,
+            may_preempt,
+            other_capacity,
         )
         for run, reason in self._evacuation.runs_to_stop(workers, now_ms):
             state.plan.stops.append(Stop(run, reason))
@@ -155,6 +185,7 @@
             stop.run for stop in state.plan.stops
         )
         ordered_jobs.sort(key=lambda job: self._sort_key(job, state))
+        self._reserved_ids = set()
         pending_since_by_step: dict[tuple[str, int, int], int] = {}
         for job in ordered_jobs:
             for pending in self._pending_steps(
@@ -179,7 +210,9 @@
         would complete without value go last, and the others by priority.
         Within a priority, jobs for which runs were preempted go first, so
         that no other job takes the freed capacity; then jobs that can
-        complete in time go before late ones, each by their latest start.
+        complete in time go before late ones, each by their urgency. Gangs
+        for which capacity was reserved keep their place, so that what
+        becomes free for them is not taken again.
         """
         deadlines = self._estimator.deadlines(job)
         share = deadlines.value_share(state.wall_ms)
@@ -190,7 +223,8 @@
             job.terms.priority,
             job.job_id not in self._preemption_cost_by_job,
             -share,
-            deadlines.slack_ms(state.wall_ms),
+            job.job_id not in self._reserved_ids,
+            -self._estimator.urgency(job, state.wall_ms),
             job.accepted_ms,
         )
 
@@ -239,7 +273,21 @@
 
     def _place(self, pending: _PendingStep, state: _RoundState) -> None:
         eligible = self._eligible_workers(pending, state)
-        if pending.step.is_gang:
+        step, count = pending.step, len(pending.tasks)
+        if _blocks_urgent_jobs(pending.job, step):
+            allowed = state.other_capacity.fitting_count(step, count)
+            if allowed < count and (step.is_gang or not allowed):
+                self._reserve(pending, eligible, state, in_one_rack=False)
+                state.plan.blocked.append(
+                    Blocked(
+                        pending.job,
+                        pending.step_index,
+                        'capacity is kept for urgent jobs',
+                    )
+                )
+                return
+            pending.tasks[allowed:] = []
+        if step.is_gang:
             self._place_gang(pending, eligible, state)
         else:
             self._place_tasks(pending, eligible, state)
@@ -258,12 +306,19 @@
         eligible: list[WorkerCapacity],
         state: _RoundState,
     ) -> None:
-        step, count = pending.step, len(pending.tasks)
         preferred = self._preferred_workers(pending, eligible, state)
-        in_one_rack = self._requires_one_rack(pending, preferred, state)
-        with _Backfill(state, self._expected_end_ms(step, state)):
-            assignment = placement.place_gang(
-                step, count, preferred, in_one_rack=in_one_rack
+        in_one_rack = pending.step.is_same_rack
+        assignment = self._find_assignment(
+            pending, preferred, state, in_one_rack=in_one_rack
+        )
+        if (
+            assignment is None
+            and in_one_rack
+            and not self._requires_one_rack(pending, preferred, state)
+        ):
+            in_one_rack = False
+            assignment = self._find_assignment(
+                pending, preferred, state, in_one_rack=False
             )
         if assignment is None:
             self._preempt_or_reserve(
@@ -273,6 +328,21 @@
         for task, worker in zip(pending.tasks, assignment, strict=True):
             self._start(state, pending, task, worker)
 
+    def _find_assignment(
+        self,
+        pending: _PendingStep,
+        workers: list[WorkerCapacity],
+        state: _RoundState,
+        *,
+        in_one_rack: bool,
+    ) -> placement.Assignment | None:
+        """Return workers with free capacity for all tasks of a gang."""
+        step = pending.step
+        with _Backfill(state, self._expected_end_ms(step, state)):
+            return placement.place_gang(
+                step, len(pending.tasks), workers, in_one_rack=in_one_rack
+            )
+
     def _place_tasks(
         self,
         pending: _PendingStep,
@@ -343,13 +413,25 @@
         workers: list[WorkerCapacity],
         state: _RoundState,
     ) -> bool:
-        """Whether a gang still waits for capacity in a single rack."""
+        """Whether a gang still waits for capacity in a single rack.
+
+        Across racks it takes longer, and so much more of the fleet: it waits
+        as long as it is expected to end earlier in one rack. Guaranteed work
+        waits no longer than its guarantee allows.
+        """
+        step, count = pending.step, len(pending.tasks)
+        if not placement.fits_one_rack(step, count, workers):
+            return False
+        if pending.job.job_id in state.guaranteed_ids:
+            return pending.waited_ms < self._max_rack_wait_ms(pending, state)
+        in_one_rack = self._find_reservation(
+            pending, count, workers, state, in_one_rack=True
+        )
+        extra_factor = self._options.spread_factor - 1
+        extra_ms = extra_factor * self._estimator.task_duration_ms(step)
         return (
-            pending.step.is_same_rack
-            and pending.waited_ms < self._max_rack_wait_ms(pending, state)
-            and placement.fits_one_rack(
-                pending.step, len(pending.tasks), workers
-            )
+            in_one_rack is not None
+            and in_one_rack.start_ms - state.now_ms < extra_ms
         )
 
     def _expected_end_ms(self, step: jobs.Step, state: _RoundState) -> int:
@@ -364,6 +446,9 @@
         worker: WorkerCapacity,
     ) -> None:
         worker.commit(pending.step)
+        self._reservation_finder.add_start(pending.step, worker, state.now_ms)
+        if _blocks_urgent_jobs(pending.job, pending.step):
+            state.other_capacity.occupy(pending.step)
         state.plan.starts.append(Start(pending.job, task, worker))
 
     # Steps that do not fit
@@ -403,6 +488,11 @@
         job = pending.job
         if job.terms.priority != 0 or not state.may_preempt:
             return False
+        is_guaranteed = job.job_id in state.guaranteed_ids
+        if not is_guaranteed and self._max_cost(job, None, state) <= (
+            self._options.base_preemption_cost
+        ):
+            return False
         unstarted = [
             task
             for task in pending.tasks
@@ -415,20 +505,16 @@
             workers,
             state.now_ms,
             state.wall_ms,
+            state.guaranteed_ids,
             in_one_rack=in_one_rack,
         )
         if preemption is None:
             return False
-        is_guaranteed = job.job_id in state.guaranteed_ids
         total_cost = (
             self._preemption_cost_by_job.get(job.job_id, 0.0) + preemption.cost
         )
-        without_preemption = self._reservation_finder.find(
-            pending.step,
-            len(unstarted),
-            workers,
-            state.now_ms,
-            in_one_rack=in_one_rack,
+        without_preemption = self._find_reservation(
+            pending, len(unstarted), workers, state, in_one_rack=in_one_rack
         )
         if is_guaranteed:
             if preemption.victims and self._starts_soon(
@@ -512,15 +598,41 @@
         if not is_large or len(state.reservations) >= limit:
             return False
         count = len(pending.tasks) if step.is_gang else 1
-        reservation = self._reservation_finder.find(
-            step, count, workers, state.now_ms, in_one_rack=in_one_rack
+        reservation = self._find_reservation(
+            pending, count, workers, state, in_one_rack=in_one_rack
         )
         if reservation is None:
             return False
         state.reservations.append(reservation)
+        if step.is_gang:
+            self._reserved_ids.add(pending.job.job_id)
         self._commit(step, reservation.tasks_by_worker, state)
         return True
 
+    def _find_reservation(
+        self,
+        pending: _PendingStep,
+        count: int,
+        workers: list[WorkerCapacity],
+        state: _RoundState,
+        *,
+        in_one_rack: bool,
+    ) -> Reservation | None:
+        """Return the earliest start of a number of tasks of a step.
+
+        It is searched once for each step, which several decisions need.
+        """
+        key = (count, in_one_rack)
+        if key not in pending.reservation_by_key:
+            pending.reservation_by_key[key] = self._reservation_finder.find(
+                pending.step,
+                count,
+                workers,
+                state.now_ms,
+                in_one_rack=in_one_rack,
+            )
+        return pending.reservation_by_key[key]
+
     @staticmethod
     def _commit(
         step: jobs.Step, tasks_by_worker: dict[str, int], state: _RoundState
@@ -570,6 +682,14 @@
     return queue.service if queue else job.terms.service
 
 
+def _blocks_urgent_jobs(job: jobs.Job, step: jobs.Step) -> bool:
+    """Whether a run of a step makes way for urgent jobs only at a loss.
+
+    Other runs that are not urgent save their work when they are stopped.
+    """
+    return job.terms.priority != 0 and not step.is_checkpointed
+
+
 def _is_ready(job: jobs.Job, repetition: int, step: jobs.Step) -> bool:
     """Whether all steps on which a step depends are done."""
     return all(
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/preemption.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/preemption.py
@@ -47,6 +47,7 @@
         self._ending: set[RunKey] = set()
         self._cost_by_key: dict[RunKey, float] = {}
         self._candidates_by_worker: dict[str, list[ActiveRun]] = {}
+        self._guaranteed_ids: set[str] = set()
 
     def begin_round(self, ending: t.Iterable[ActiveRun]) -> None:
         """Clear the caches of the last planning round.
@@ -69,14 +70,18 @@
         workers: list[WorkerCapacity],
         now_ms: int,
         wall_ms: int,
+        guaranteed_ids: set[str],
         *,
         in_one_rack: bool,
     ) -> PreemptionPlan | None:
         """Return the cheapest preemption for a number of tasks of a step.
 
         :param workers: workers that may receive the tasks.
+        :param guaranteed_ids: ids of the guaranteed jobs, which preempt
+            other urgent jobs as well.
         :param in_one_rack: whether all tasks have to share a rack.
         """
+        self._guaranteed_ids = guaranteed_ids
         groups: t.Iterable[list[WorkerCapacity]] = [workers]
         if in_one_rack:
             by_rack: dict[str, list[WorkerCapacity]] = {}
@@ -143,7 +148,9 @@
         for victim in self._candidates(worker, now_ms, wall_ms):
             if len(slots) >= step.tasks:
                 break
-            if self._is_ending(victim) or not _is_preemptible(victim, job):
+            if self._is_ending(victim) or not self._is_preemptible(
+                victim, job
+            ):
                 continue
             capacity.release(victim.step)
             slot_victims.append(victim)
@@ -159,6 +166,22 @@
     def _is_ending(self, run: ActiveRun) -> bool:
         return run.is_stopping or run.key in self._ending
 
+    def _is_preemptible(self, run: ActiveRun, urgent: jobs.Job) -> bool:
+        """Whether a run may be preempted for an urgent job.
+
+        The job needs a higher priority, that is, a lower number, or a
+        guarantee that the run does not have. Runs that last until their job
+        is cancelled are never preempted.
+        """
+        if run.step.is_lasting:
+            return False
+        if run.job.terms.priority > urgent.terms.priority:
+            return True
+        return (
+            urgent.job_id in self._guaranteed_ids
+            and run.job.job_id not in self._guaranteed_ids
+        )
+
     def _candidates(
         self, worker: WorkerCapacity, now_ms: int, wall_ms: int
     ) -> list[ActiveRun]:
@@ -215,15 +238,3 @@
         )
         lost_work_cost = members * lost_core_s * options.lost_core_second_cost
         return options.base_preemption_cost + lost_work_cost + lost_value
-
-
-def _is_preemptible(run: ActiveRun, urgent: jobs.Job) -> bool:
-    """Whether a run may be preempted for an urgent job.
-
-    The job needs a higher priority, that is, a lower number. Runs that last
-    until their job is cancelled are never preempted.
-    """
-    return (
-        run.job.terms.priority > urgent.terms.priority
-        and not run.step.is_lasting
-    )
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/reservation.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/reservation.py
@@ -3,13 +3,18 @@
 A slot is room for one task of the step.
 """
 
+import collections
 import dataclasses
+import typing as t
 
 from mulberryloom_core.request import jobs
 
 from . import valuation
 from .capacity import WorkerCapacity
 
+#: Time at which a task is expected to end, and its step.
+_ExpectedEnd: t.TypeAlias = tuple[int, jobs.Step]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reservation:
@@ -32,6 +37,23 @@
 
     def __init__(self, estimator: valuation.Estimator) -> None:
         self._estimator = estimator
+        # Expected ends and steps of the tasks that start in this round.
+        self._starts_by_worker: dict[str, list[_ExpectedEnd]] = {}
+        # Those of all tasks, earliest first, computed once in a round.
+        self._ends_by_worker: dict[str, list[_ExpectedEnd]] = {}
+
+    def begin_round(self) -> None:
+        """Forget the starts and ends of the last planning round."""
+        self._starts_by_worker = collections.defaultdict(list)
+        self._ends_by_worker.clear()
+
+    def add_start(
+        self, step: jobs.Step, worker: WorkerCapacity, now_ms: int
+    ) -> None:
+        """Count a task that starts in this round as running."""
+        end_ms = now_ms + self._estimator.task_duration_ms(step)
+        self._starts_by_worker[worker.worker].append((end_ms, step))
+        self._ends_by_worker.pop(worker.worker, None)
 
     def find(
         self,
@@ -90,14 +112,28 @@
         """
         capacity = worker.free_capacity()
         slots = [(now_ms, worker.worker)] * capacity.fitting_count(step)
-        ends = sorted(
-            (now_ms + self._estimator.run_remaining_ms(run, now_ms), key)
-            for key, run in worker.run_by_key.items()
-        )
-        for end_ms, key in ends:
+        for end_ms, ended_step in self._expected_ends(worker, now_ms):
             if len(slots) >= step.tasks:
                 break
-            capacity.release(worker.run_by_key[key].step)
+            capacity.release(ended_step)
             fits = capacity.fitting_count(step)
             slots += [(end_ms, worker.worker)] * (fits - len(slots))
         return slots
+
+    def _expected_ends(
+        self, worker: WorkerCapacity, now_ms: int
+    ) -> list[_ExpectedEnd]:
+        """Return the expected ends of a worker's tasks, earliest first."""
+        ends = self._ends_by_worker.get(worker.worker)
+        if ends is None:
+            ends = [
+                (
+                    now_ms + self._estimator.run_remaining_ms(run, now_ms),
+                    run.step,
+                )
+                for run in worker.run_by_key.values()
+            ]
+            ends += self._starts_by_worker.get(worker.worker, [])
+            ends.sort(key=lambda item: item[0])
+            self._ends_by_worker[worker.worker] = ends
+        return ends
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/valuation.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/valuation.py
@@ -1,11 +1,14 @@
 """Value of a job to its caller, depending on when it completes."""
 
+import collections
 import dataclasses
+import math
 import typing as t
 
 from mulberryloom_core.request import jobs
 
 from .capacity import ActiveRun
+from .capacity import WorkerCapacity
 from .options import PlanOptions
 
 #: Value of a job by its priority, relative to the lowest priority. The
@@ -13,7 +16,11 @@
 _VALUE_BY_PRIORITY = {0: 4.0, 1: 3.0, 2: 1.0}
 #: Value of a job of any other priority.
 _MIN_VALUE = 1.0
-#: Share of its value that a job keeps when it completes late.
+#: Share of its value that a job keeps when it completes late, by priority.
+#: The deployments state 0.2 for their most urgent requests, and 0.3 to 0.5
+#: for others.
+_LATE_VALUE_SHARE_BY_PRIORITY = {0: 0.2}
+#: Share that a job of any other priority keeps.
 _LATE_VALUE_SHARE = 0.35
 #: A late job keeps that share up to this multiple of its target time, counted
 #: from its acceptance, and has no value beyond. The target time is the
@@ -24,22 +31,32 @@
 _SIZE_FACTOR_BASE = 0.3
 _SIZE_FACTOR_SLOPE = 0.7
 _MAX_SIZE_FACTOR = 4.0
+#: The target time of a job counts on one part in this many of the fleet: a
+#: wider step takes several waves.
+_FLEET_PARTS = 4
+#: Slack that discounts the urgency of a job by a factor of e; about the
+#: duration of an urgent job.
+_URGENCY_SCALE_MS = 5_000
 _MS_PER_S = 1_000
 _MILLIS_PER_CORE = 1_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class JobDeadlines:
-    """Deadlines of a job and the time that it still needs.
+    """Deadlines of a job and the time and work that it still needs.
 
     :param remaining_ms: critical path of the steps that are not done.
+    :param remaining_core_ms: work of the tasks that are not done.
     :param target_ms: Unix time until which the job completes in time.
     :param cutoff_ms: Unix time after which the job has no value.
+    :param late_share: share of its value that it keeps in between.
     """
 
     remaining_ms: int
+    remaining_core_ms: float
     target_ms: int
     cutoff_ms: int
+    late_share: float
 
     def slack_ms(self, wall_ms: int) -> int:
         """Return how long the job can wait and still complete in time."""
@@ -52,13 +69,36 @@
         """
         if end_ms <= self.target_ms:
             return 1.0
-        return _LATE_VALUE_SHARE if end_ms <= self.cutoff_ms else 0.0
+        return self.late_share if end_ms <= self.cutoff_ms else 0.0
 
     def value_share(self, wall_ms: int, delay_ms: int = 0) -> float:
         """Return the share of its value if the job continues after a delay."""
         return self.value_share_at(wall_ms + delay_ms + self.remaining_ms)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _FleetFit:
+    """How a step fits on a fleet on which nothing else runs.
+
+    :param slots: number of its tasks that run at a time.
+    :param is_in_one_rack: whether some rack fits all of them.
+    """
+
+    slots: int
+    is_in_one_rack: bool
+
+    @classmethod
+    def from_workers(
+        cls, step: jobs.Step, workers: list[WorkerCapacity]
+    ) -> '_FleetFit':
+        """Count the tasks that fit on each rack."""
+        slots_by_rack: collections.Counter[str] = collections.Counter()
+        for worker in workers:
+            slots_by_rack[worker.rack] += worker.fitting_count_when_empty(step)
+        widest = max(slots_by_rack.values(), default=0)
+        return cls(slots_by_rack.total(), widest >= step.tasks)
+
+
 class Estimator:
     """Estimates durations and values of jobs.
 
@@ -71,14 +111,31 @@
         # Sum of the sizes in core-milliseconds, and number of jobs.
         self._total_and_count_by_queue: dict[str, tuple[float, int]] = {}
         self._deadlines_by_id: dict[str, JobDeadlines] = {}
-
-    def begin_round(self, open_jobs: t.Iterable[jobs.Job]) -> None:
+        self._workers: list[WorkerCapacity] = []
+        # Incarnations of the workers for which the slots were counted.
+        self._fleet_key: frozenset[tuple[str, int]] = frozenset()
+        # By id of the job, for each of its steps.
+        self._fits_by_id: dict[str, list[_FleetFit]] = {}
+
+    def begin_round(
+        self,
+        open_jobs: t.Iterable[jobs.Job],
+        workers: list[WorkerCapacity],
+    ) -> None:
         """Add new jobs to the mean size of their queues.
 
         Jobs that are no longer open still count in the mean. Deadlines are
         computed once for each job in a round.
+
+        :param workers: the fleet; how many tasks of a step fit on it is
+            counted once for each job, and anew when the fleet changes.
         """
         self._deadlines_by_id.clear()
+        self._workers = workers
+        fleet_key = frozenset((w.worker, w.boot) for w in workers)
+        if fleet_key != self._fleet_key:
+            self._fleet_key = fleet_key
+            self._fits_by_id.clear()
         core_ms_by_id = {}
         for job in open_jobs:
             core_ms = self._core_ms_by_id.get(job.job_id)
@@ -93,6 +150,8 @@
                 )
             core_ms_by_id[job.job_id] = core_ms
         self._core_ms_by_id = core_ms_by_id
+        for job_id in self._fits_by_id.keys() - core_ms_by_id.keys():
+            del self._fits_by_id[job_id]
 
     def _core_ms(self, job: jobs.Job) -> float:
         """Return the declared size of a job, in core-milliseconds."""
@@ -143,33 +202,75 @@
         return max(expected_ms - elapsed_ms, expected_ms // 4)
 
     def critical_path_ms(self, job: jobs.Job) -> int:
-        """Return the duration of the longest chain of dependent steps."""
-        return self._longest_path_ms(job, lambda index: True)
+        """Return the duration of the longest chain of dependent steps.
+
+        A step that is wider than its part of the fleet takes several waves.
+        """
+        durations_ms = [
+            self.task_duration_ms(step)
+            * _wave_count(step, step.tasks, fit.slots // _FLEET_PARTS)
+            for step, fit in zip(
+                job.spec.steps, self._fleet_fits(job), strict=True
+            )
+        ]
+        return _longest_path_ms(job, durations_ms)
 
     def remaining_path_ms(self, job: jobs.Job) -> int:
-        """Return the critical path of the steps that are not done.
+        """Return the critical path of the tasks that are not done."""
+        return self._remaining_path_ms(job, _remaining_counts(job))
+
+    def _remaining_path_ms(self, job: jobs.Job, counts: list[int]) -> int:
+        """Return the critical path, with the whole fleet available.
 
-        Only the first repetition of a job is considered.
+        :param counts: tasks of each step that are not done.
         """
-        return self._longest_path_ms(
-            job,
-            lambda index: (
-                not all(task.is_done for task in job.tasks_of(0, index))
-            ),
+        durations_ms = []
+        for step, fit, count in zip(
+            job.spec.steps, self._fleet_fits(job), counts, strict=True
+        ):
+            duration_ms = self.task_duration_ms(step)
+            if step.is_same_rack and not fit.is_in_one_rack:
+                duration_ms = int(duration_ms * self._options.spread_factor)
+            waves = _wave_count(step, count, fit.slots)
+            durations_ms.append(duration_ms * waves)
+        return _longest_path_ms(job, durations_ms)
+
+    def _remaining_core_ms(self, job: jobs.Job, counts: list[int]) -> float:
+        """Return the work of the tasks that are not done.
+
+        :param counts: tasks of each step that are not done.
+        """
+        return sum(
+            count
+            * self.task_duration_ms(step)
+            * core_equivalents(step, self._options)
+            for step, count in zip(job.spec.steps, counts, strict=True)
         )
 
-    def _longest_path_ms(
-        self, job: jobs.Job, is_counted: t.Callable[[int], bool]
-    ) -> int:
-        """Return the longest path; steps that are not counted take 0 ms."""
-        ends_ms: list[int] = []
-        for index, step in enumerate(job.spec.steps):
-            start_ms = max((ends_ms[i] for i in step.after), default=0)
-            duration_ms = (
-                self.task_duration_ms(step) if is_counted(index) else 0
-            )
-            ends_ms.append(start_ms + duration_ms)
-        return max(ends_ms, default=0)
+    def urgency(self, job: jobs.Job, wall_ms: int) -> float:
+        """Return the index by which jobs of one priority are ordered.
+
+        It is the apparent tardiness cost, as a logarithm: the value that a
+        core-second of remaining work yields, discounted by the time that the
+        job can still wait. In overload the most valuable work goes first;
+        large jobs do not starve, since their index grows while they wait.
+        """
+        deadlines = self.deadlines(job)
+        core_s = deadlines.remaining_core_ms / _MS_PER_S
+        density = self.on_time_value(job) / max(1.0, core_s)
+        slack_ms = max(0, deadlines.slack_ms(wall_ms))
+        return math.log(density) - slack_ms / _URGENCY_SCALE_MS
+
+    def _fleet_fits(self, job: jobs.Job) -> list['_FleetFit']:
+        """Return how each step of a job fits on the empty fleet."""
+        fits = self._fits_by_id.get(job.job_id)
+        if fits is None:
+            fits = [
+                _FleetFit.from_workers(step, self._workers)
+                for step in job.spec.steps
+            ]
+            self._fits_by_id[job.job_id] = fits
+        return fits
 
     def deadlines(self, job: jobs.Job) -> JobDeadlines:
         """Return the deadlines of a job, from a cache within a round."""
@@ -179,15 +280,52 @@
         target_ms = int(
             job.terms.stretch * self.critical_path_ms(job) + job.terms.slack_ms
         )
+        counts = _remaining_counts(job)
         computed = JobDeadlines(
-            self.remaining_path_ms(job),
+            self._remaining_path_ms(job, counts),
+            self._remaining_core_ms(job, counts),
             job.accepted_ms + target_ms,
             job.accepted_ms + _CUTOFF_FACTOR * target_ms,
+            _LATE_VALUE_SHARE_BY_PRIORITY.get(
+                job.terms.priority, _LATE_VALUE_SHARE
+            ),
         )
         self._deadlines_by_id[job.job_id] = computed
         return computed
 
 
+def _remaining_counts(job: jobs.Job) -> list[int]:
+    """Return how many tasks of each step are not done.
+
+    Only the first repetition of a job is considered.
+    """
+    return [
+        sum(not task.is_done for task in job.tasks_of(0, index))
+        for index in range(len(job.spec.steps))
+    ]
+
+
+def _longest_path_ms(job: jobs.Job, durations_ms: list[int]) -> int:
+    """Return the longest path of a job's steps, given their durations."""
+    ends_ms: list[int] = []
+    for step, duration_ms in zip(job.spec.steps, durations_ms, strict=True):
+        start_ms = max((ends_ms[i] for i in step.after), default=0)
+        ends_ms.append(start_ms + duration_ms)
+    return max(ends_ms, default=0)
+
+
+def _wave_count(step: jobs.Step, tasks: int, slots: int) -> int:
+    """Return in how many waves tasks of a step run.
+
+    A gang runs as a whole.
+
+    :param slots: number of tasks that run at a time.
+    """
+    if step.is_gang:
+        return min(1, tasks)
+    return -(-tasks // max(1, slots))
+
+
 def core_equivalents(step: jobs.Step, options: PlanOptions) -> float:
     """Return the size of one task, in cores.
 
--- a/packages/mulberryloom-policy/tests/test_job_planner.py
+++ b/packages/mulberryloom-policy/tests/test_job_planner.py
@@ -427,3 +427,121 @@
         region.end_run(run, is_done=True)
     racks = {start.worker.rack for start in region.run_round(100).starts}
     assert racks == {'r1'}
+
+
+# Overload: more urgent work than the fleet can run in time
+
+
+def test_guaranteed_job_preempts_urgent_work_beyond_a_guarantee():
+    """Another account fills the fleet with urgent jobs of its own."""
+    region = Region([_worker(1), _worker(2)])
+    borrowed = region.submit(_step(16, 1), priority=0, account='x')
+    region.run_round()
+    assert len(region.runs(borrowed)) == 16
+    urgent = region.submit(_step(2, 8, is_gang=True), priority=0)
+    assert len(region.run_round(700).stops) == 16
+    region.end_stopping_runs()
+    region.run_round(300)
+    assert len(region.runs(urgent)) == 2
+
+
+def test_urgent_job_beyond_guarantee_preempts_no_urgent_work():
+    region = Region([_worker(1)])
+    region.submit(_step(8, 1), priority=0, account='x')
+    region.run_round()
+    region.submit(_step(1, 8), priority=0, account='y')
+    assert region.run_round(5_000).stops == []
+
+
+def test_overload_order_prefers_work_of_higher_value_density():
+    """A job in time that takes the whole fleet would delay many small ones."""
+    region = Region([_worker(1)])
+    running = region.submit(_step(8, 1), priority=0, account='x')
+    region.run_round()
+    region.submit(_step(8, 1), priority=0, account='x')
+    region.run_round(100)
+    small = [
+        region.submit(_step(1, 1), priority=0, account='x') for _ in range(4)
+    ]
+    for run in region.runs(running):
+        region.end_run(run, is_done=True)
+    region.run_round(100)
+    assert all(region.runs(job) for job in small)
+
+
+def test_gang_too_wide_for_a_rack_goes_after_gangs_in_time():
+    """Across racks it takes three times as long, and ends late anyway."""
+    region = Region([_worker(1, 'r1'), _worker(2, 'r2')])
+    wide = region.submit(
+        _step(2, 8, is_gang=True, is_same_rack=True), priority=0, account='x'
+    )
+    narrow = region.submit(
+        _step(2, 4, is_gang=True, is_same_rack=True), priority=0, account='x'
+    )
+    region.run_round(2_000)
+    assert region.runs(narrow)
+    assert not region.runs(wide)
+
+
+def test_wide_step_has_time_for_its_waves():
+    """Its single tasks cannot all run at once, which its target allows."""
+    region = Region([_worker(1), _worker(2)])
+    wide = region.submit(_step(6, 8), priority=0, account='x')
+    region.run_round(8_000)
+    assert len(region.runs(wide)) == 2
+    narrow = region.submit(_step(1, 8), priority=0, account='x')
+    region.now_ms += 20_000
+    for run in region.runs(wide):
+        region.end_run(run, is_done=True)
+    region.run_round(100)
+    assert region.runs(narrow)
+
+
+def test_reservation_counts_tasks_that_start_in_the_same_round():
+    """Else no capacity is reserved for a gang behind them, and it starves."""
+    region = Region([_worker(1)])
+    region.submit(_step(4, 1, estimate_ms=5_000))
+    gang = region.submit(_step(8, 1, is_gang=True, estimate_ms=60_000))
+    region.run_round()
+    assert not region.runs(gang)
+    assert region.planner._reserved_ids == {gang.job_id}
+
+
+def test_long_work_leaves_capacity_that_urgent_jobs_ask_for():
+    """Without checkpoints it could make way only at the loss of its work."""
+    region = Region([_worker(1), _worker(2)])
+    for _ in range(12):
+        job = region.submit(
+            _step(1, 8, estimate_ms=5_000), priority=0, account='x'
+        )
+        region.run_round(500)
+        for run in region.runs(job):
+            region.end_run(run, is_done=True)
+    long = region.submit(_step(16, 1, estimate_ms=60_000), priority=2)
+    saved = region.submit(
+        _step(4, 1, estimate_ms=60_000, is_checkpointed=True), priority=2
+    )
+    region.run_round(100)
+    assert 0 < len(region.runs(long)) < 12
+    assert len(region.runs(saved)) == 4
+
+
+def test_long_work_takes_the_whole_fleet_without_urgent_jobs():
+    region = Region([_worker(1), _worker(2)])
+    long = region.submit(_step(16, 1, estimate_ms=60_000), priority=2)
+    region.run_round()
+    assert len(region.runs(long)) == 16
+
+
+def test_large_step_starts_under_urgent_load_while_no_other_work_runs():
+    region = Region([_worker(1), _worker(2)])
+    for _ in range(12):
+        region.submit(_step(1, 8, estimate_ms=5_000), priority=0, account='x')
+    region.run_round(500)
+    for job in region.jobs:
+        job.is_cancelled = True
+        for run in region.runs(job):
+            region.end_run(run)
+    large = region.submit(_step(2, 8, is_gang=True, estimate_ms=60_000))
+    region.run_round(100)
+    assert len(region.runs(large)) == 2
