Reject at once while the store is known not to answer

During an outage each submission waited 0.9 to 1.5 s for the store, by its own connection and by two relays, although the entry had seen that the store does not answer; the caller was told that the outcome was unknown and could not retry. A relayed write with an unknown outcome that was followed by a refused direct call was called not run; so was the retry of a submission whose first outcome was unknown. Change: a circuit breaker for the entry's own connection. Two consecutive calls without an answer open it; calls, also those relayed for other entries, then fail at once as not run, other entries are tried first, and one call every 400 ms probes the store. A submission is called not run only if no earlier call for the same job has an open outcome. The breaker libraries of the registry wrap calls; here the decision is a plain class beside the call. Tests: six in test_job_intake; those of the outage, of the relayed write and of the retry fail without the change.

--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/entry.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/entry.py
@@ -460,7 +460,7 @@
         self, body: bytes
     ) -> Result[bytes, exceptions.Error]:
         request = store_codec.decode_request(body)
-        answer = await self.store.call_direct(request)
+        answer = await self.store.call_unless_open(request)
         if answer.is_err():
             return Err(answer.unwrap_err())
         return Ok(store_codec.encode_reply(answer.unwrap()))
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/gateway.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/gateway.py
@@ -12,6 +12,7 @@
 import structlog
 
 from . import calls
+from . import store_circuit
 from . import store_codec
 
 #: Time after a failed direct call during which calls are relayed first;
@@ -60,6 +61,7 @@
         self._metrics = metrics
         self._direct_failed_ms = -RELAY_FIRST_MS
         self._is_direct_reachable = True
+        self._circuit = store_circuit.StoreCircuit()
         self.last_reached_ms = clock.now_ms()
 
     @property
@@ -85,27 +87,46 @@
         conditions on revisions. If a write was not answered, the error says
         that its outcome is unknown.
         """
-        is_relay_first = (
-            self._clock.now_ms() - self._direct_failed_ms < RELAY_FIRST_MS
+        can_relay = store_codec.can_relay(request)
+        is_relay_first = can_relay and (
+            self._circuit.is_open
+            or self._clock.now_ms() - self._direct_failed_ms < RELAY_FIRST_MS
         )
-        if is_relay_first and store_codec.can_relay(request):
+        relayed = None
+        if is_relay_first:
             relayed = await self._relay(request)
             if relayed.is_ok():
                 return relayed
-        answer = await self.call_direct(request)
-        if (
-            answer.is_ok()
-            or is_relay_first
-            or not store_codec.can_relay(request)
-        ):
+        answer = await self.call_unless_open(request)
+        if relayed is None and can_relay and answer.is_err():
+            relayed = await self._relay(request)
+            if relayed.is_ok():
+                return relayed
+        if relayed is None or answer.is_ok():
             return answer
-        relayed = await self._relay(request)
-        if relayed.is_ok():
-            return relayed
+        # The write may have taken effect on either way.
         if answer.unwrap_err().ran is not exceptions.Ran.NO:
             return answer
         return relayed
 
+    async def call_unless_open(
+        self, request: store.StoreRequest
+    ) -> Result[store.StoreReply, exceptions.Error]:
+        """Execute one request over this entry's own connection.
+
+        It fails at once, without having run, while the circuit is open.
+        """
+        if self._circuit.try_begin(self._clock.now_ms()):
+            return await self.call_direct(request)
+        self._metrics.count('store_calls_suppressed_total')
+        return Err(
+            exceptions.Error.from_kind(
+                exceptions.ErrorKind.STORE_UNAVAILABLE,
+                'store has not answered the last calls',
+                ran=exceptions.Ran.NO,
+            )
+        )
+
     @property
     def direct(self) -> 'DirectStore':
         """Client of the store that never relays."""
@@ -134,10 +155,14 @@
         is_reachable: bool,
     ) -> None:
         now_ms = self._clock.now_ms()
+        was_open = self._circuit.is_open
         if is_reachable:
             self.last_reached_ms = now_ms
+            self._circuit.record_answer()
         else:
             self._direct_failed_ms = now_ms
+            self._circuit.record_failure(now_ms)
+        self._log_circuit(was_open)
         if is_reachable == self._is_direct_reachable:
             return
         self._is_direct_reachable = is_reachable
@@ -150,6 +175,18 @@
                 reason=answer.unwrap_err().detail,
             )
 
+    def _log_circuit(self, was_open: bool) -> None:
+        is_open = self._circuit.is_open
+        if is_open == was_open:
+            return
+        self._metrics.set_gauge('is_store_circuit_open', int(is_open))
+        if is_open:
+            _log.warning(
+                'store circuit opened', failures=self._circuit.failures
+            )
+        else:
+            _log.info('store circuit closed')
+
     async def _relay(
         self, request: store.StoreRequest
     ) -> Result[store.StoreReply, exceptions.Error]:
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/intake.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/intake.py
@@ -26,6 +26,8 @@
 SUBMIT_TIMEOUT_MS = 1_500
 #: Pause before a store call without a conclusive answer is retried.
 RETRY_PAUSE_MS = 60
+#: Submissions with an unknown outcome that are remembered.
+MAX_UNKNOWN_SUBMISSIONS = 1_000
 _MS_PER_S = 1_000
 
 _Kind = exceptions.ErrorKind
@@ -75,6 +77,8 @@
         self._leader = leader
         self._clock = clock
         self._metrics = metrics
+        # Jobs whose record may have been stored, oldest first.
+        self._unknown_ids: dict[str, None] = {}
 
     async def submit(
         self,
@@ -151,6 +155,7 @@
     def _submission_accepted(
         self, job: jobs.Job, entry: store.Entry, outcome: str
     ) -> Result[None, exceptions.Error]:
+        self._unknown_ids.pop(job.job_id, None)
         self._metrics.count('submissions_total', outcome)
         _log.info(
             'job accepted',
@@ -172,6 +177,11 @@
         answer: Result[store.StoreReply, exceptions.Error],
         ran: exceptions.Ran,
     ) -> Result[None, exceptions.Error]:
+        if ran is exceptions.Ran.UNKNOWN:
+            self._remember_unknown(job_id)
+        elif job_id in self._unknown_ids:
+            # This call has not stored the job, but an earlier one may have.
+            ran = exceptions.Ran.UNKNOWN
         self._metrics.count('submissions_total', f'refused-{ran.value}')
         detail = f'job record {job_id} not stored: store reported a conflict'
         if answer.is_err():
@@ -189,6 +199,11 @@
             error = exceptions.Error.from_kind(_Kind.OUTCOME_UNKNOWN, detail)
         return Err(error)
 
+    def _remember_unknown(self, job_id: str) -> None:
+        self._unknown_ids[job_id] = None
+        if len(self._unknown_ids) > MAX_UNKNOWN_SUBMISSIONS:
+            del self._unknown_ids[next(iter(self._unknown_ids))]
+
     async def job_state(
         self, job_id: str
     ) -> Result[jobs.JobState, exceptions.Error]:
--- a/packages/mulberryloom-entry/tests/test_job_intake.py
+++ b/packages/mulberryloom-entry/tests/test_job_intake.py
@@ -1,6 +1,7 @@
 """Tests of the job intake against a store that loses or refuses calls."""
 
 import asyncio
+import time
 
 from mulberryloom_core import clock as clocks
 from mulberryloom_core import exceptions
@@ -11,6 +12,7 @@
 from mulberryloom_entry.jobs import gateway
 from mulberryloom_entry.jobs import intake
 from mulberryloom_entry.jobs import keys
+from mulberryloom_entry.jobs import store_circuit
 from mulberryloom_entry.jobs import store_codec
 from mulberryloom_standins.store import core as store_core
 import pytest
@@ -248,3 +250,111 @@
     assert store_gateway.retry_after_ms == 2_000
     clock.advance(60_000)
     assert store_gateway.retry_after_ms == gateway.MAX_RETRY_AFTER_MS
+
+
+class SilentStore:
+    """Store that answers no call until it recovers."""
+
+    def __init__(self):
+        self.core = store_core.StoreCore()
+        self.is_silent = True
+        self.call_count = 0
+
+    async def call(self, request):
+        self.call_count += 1
+        if self.is_silent:
+            await asyncio.sleep(CALL_TIMEOUT_S)
+            return _unavailable(exceptions.Ran.UNKNOWN)
+        return self.core.handle(request, 0)
+
+
+CALL_TIMEOUT_S = 0.05
+
+
+async def _submit_during_outage(job_intake, direct_store):
+    """Submit until the circuit opens; return the result of the next call."""
+    for index in range(store_circuit.FAILURES_TO_OPEN):
+        await job_intake.submit(f'{index:016x}', SPEC, TERMS, 100)
+    calls_before = direct_store.call_count
+    started_s = time.monotonic()
+    result = await job_intake.submit(JOB_ID, SPEC, TERMS, 1_000)
+    return (
+        result,
+        direct_store.call_count - calls_before,
+        (time.monotonic() - started_s),
+    )
+
+
+def test_known_outage_rejects_at_once_as_not_run():
+    """The store is silent for seconds, as the last calls have shown."""
+    direct_store = SilentStore()
+    job_intake, _, _ = _make_intake(direct_store)
+    result, call_count, spent_s = asyncio.run(
+        _submit_during_outage(job_intake, direct_store)
+    )
+    error = result.unwrap_err()
+    assert error.ran is exceptions.Ran.NO
+    assert error.retry_after_ms >= gateway.MIN_RETRY_AFTER_MS
+    assert call_count == 0
+    assert spent_s < 1
+
+
+def test_open_circuit_still_relays_through_another_entry():
+    """Only this entry is cut off from the store."""
+    direct_store = SilentStore()
+    job_intake, leader, _ = _make_intake(direct_store, FaultyStore())
+    result, call_count, _ = asyncio.run(
+        _submit_during_outage(job_intake, direct_store)
+    )
+    assert result.is_ok()
+    assert call_count == 0
+    assert leader.notified_entries
+
+
+def test_write_relayed_with_unknown_outcome_is_not_called_not_run():
+    """The direct call that follows it is refused."""
+    relay_store = FaultyStore()
+    relay_store.lost_answers = 100
+    direct_store = FaultyStore()
+    direct_store.refused_calls = 100
+    job_intake, _, _ = _make_intake(direct_store, relay_store)
+    result = asyncio.run(job_intake.submit(JOB_ID, SPEC, TERMS, 300))
+    assert result.unwrap_err().ran is exceptions.Ran.UNKNOWN
+
+
+def test_retry_of_a_submission_with_unknown_outcome_stays_unknown():
+    """The record of the first call may still appear in the store."""
+    direct_store = FaultyStore()
+    job_intake, _, _ = _make_intake(direct_store)
+
+    async def submit_twice():
+        direct_store.lost_answers = 100
+        first = await job_intake.submit(JOB_ID, SPEC, TERMS, 100)
+        direct_store.lost_answers = 0
+        direct_store.refused_calls = 100
+        return first, await job_intake.submit(JOB_ID, SPEC, TERMS, 100)
+
+    for result in asyncio.run(submit_twice()):
+        assert result.unwrap_err().ran is exceptions.Ran.UNKNOWN
+
+
+def test_circuit_opens_on_consecutive_failures_only():
+    circuit = store_circuit.StoreCircuit()
+    circuit.record_failure(0)
+    circuit.record_answer()
+    circuit.record_failure(10)
+    assert not circuit.is_open
+    circuit.record_failure(20)
+    assert circuit.is_open
+
+
+def test_open_circuit_lets_one_probe_through_in_each_interval():
+    circuit = store_circuit.StoreCircuit()
+    for _ in range(store_circuit.FAILURES_TO_OPEN):
+        circuit.record_failure(0)
+    probe_ms = store_circuit.PROBE_INTERVAL_MS
+    assert not circuit.try_begin(probe_ms - 1)
+    assert circuit.try_begin(probe_ms)
+    assert not circuit.try_begin(probe_ms + 1)
+    circuit.record_answer()
+    assert circuit.try_begin(probe_ms + 2)
