Move the table of runs out of the leader

Change: run_table.RunTable holds the runs and orphans of a term and stops, discards and removes them; the leader keeps the workers, records and plans. No behaviour changes.

--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -32,6 +32,7 @@
 from . import decisions
 from . import fleet
 from . import record_cache
+from . import run_table
 
 _log = structlog.get_logger(__name__)
 
@@ -122,13 +123,16 @@
         self._decision_log = decisions.DecisionLog()
         self._link_by_key: dict[fleet.WorkerKey, fleet.WorkerLink] = {}
         self._key_by_node: dict[str, fleet.WorkerKey] = {}
-        self._orphans_by_worker: dict[
-            fleet.WorkerKey, dict[fleet.RunKey, ActiveRun]
-        ] = {}
-        self._run_by_key: dict[fleet.RunKey, ActiveRun] = {}
+        self._runs = run_table.RunTable(
+            self._records,
+            self._decision_log,
+            self._metrics,
+            self._link_by_key,
+            options.plan,
+            now_ms,
+        )
         self._known_job_ids: dict[str, None] = {}
         self._needs_plan = True
-        self._last_planned_ms = now_ms
         self._last_sequence = 0
         self._blocked_reason_by_step: dict[tuple[str, int], str] = {}
         # Number of the last failed run of each gang. The failures of several
@@ -155,55 +159,14 @@
         if job.job_id not in self._known_job_ids:
             self._known_job_ids[job.job_id] = None
             for task in job.active_tasks():
-                self._add_orphan(job, task, now_ms)
+                self._runs.add_orphan(job, task, now_ms)
         if job.is_cancelled:
             self._end_job(job, wall_ms, 'cancelled')
 
-    def _add_orphan(self, job: jobs.Job, task: jobs.Task, now_ms: int) -> None:
-        """Track a run of an earlier leader until its worker reports."""
-        assert task.run is not None
-        step = job.step_of(task.key)
-        run = ActiveRun(
-            job,
-            task,
-            task.run,
-            step,
-            (task.run.worker, task.run.worker_boot),
-            now_ms,
-            is_inherited=True,
-            is_recorded=True,
-            last_progress_ms=now_ms,
-        )
-        self._run_by_key[run.key] = run
-        link = self._link_by_key.get(run.incarnation_key)
-        if link is not None:
-            link.capacity.run_by_key[run.key] = run
-            link.capacity.recompute_free()
-            return
-        self._orphans_by_worker.setdefault(run.incarnation_key, {})[
-            run.key
-        ] = run
-
     def job_state(self, job_id: str) -> jobs.JobState | None:
         """Return the stored state of a job, ``None`` if it is unknown."""
         return self._records.stored_state(job_id)
 
-    def _record_decision(
-        self, event: str, run: ActiveRun, **fields: t.Any
-    ) -> None:
-        """Log a decision on a run and add it to the decision log.
-
-        :param fields: reason and outcome of the decision.
-        """
-        self._decision_log.record(
-            event,
-            run.job.job_id,
-            task=run.name,
-            run=run.run.number,
-            worker=run.run.worker,
-            **fields,
-        )
-
     def decisions_on(self, job_id: str) -> list[dict[str, t.Any]]:
         """Return this leader's decisions on a job, oldest first."""
         return self._decision_log.list_for(job_id)
@@ -226,7 +189,7 @@
         """Update the leader's gauges."""
         links = self._link_by_key.values()
         self._metrics.set_gauge('workers', len(links))
-        self._metrics.set_gauge('active_runs', len(self._run_by_key))
+        self._metrics.set_gauge('active_runs', len(self._runs.run_by_key))
         self._metrics.set_gauge('known_jobs', len(self._known_job_ids))
         self._metrics.set_gauge('unwritten_jobs', self._records.dirty_count)
 
@@ -258,9 +221,9 @@
         run.is_recorded = True
         link = self._link_by_key.get(run.incarnation_key)
         if run.is_stopping:
-            self._discard_run(run, 'stopped before the start was sent')
+            self._runs.discard(run, 'stopped before the start was sent')
         elif link is None:
-            self._discard_run(run, 'worker was removed')
+            self._runs.discard(run, 'worker was removed')
         else:
             link.has_pending_orders = True
 
@@ -329,7 +292,7 @@
                 0 < run.sent_sequence <= report.orders_sequence
             )
             if run.is_confirmed or is_start_processed:
-                self._discard_run(run, 'worker lease expired')
+                self._runs.discard(run, 'worker lease expired')
 
     def _link_for(
         self, node: str, report: messages.WorkerReport, now_ms: int
@@ -348,7 +311,7 @@
             link = fleet.link_from_report(node, report, now_ms)
             self._link_by_key[key] = link
             link.capacity.run_by_key.update(
-                self._orphans_by_worker.pop(key, {})
+                self._runs.orphans_by_worker.pop(key, {})
             )
             self._discard_earlier_incarnations(link, now_ms)
             link.capacity.recompute_free()
@@ -381,7 +344,7 @@
         worker, boot = link.key
         earlier_keys = [
             key
-            for key, vm in self._vm_by_worker().items()
+            for key, vm in self._runs.vm_by_worker().items()
             if (key[0] == worker or vm == link.vm) and key[1] < boot
         ]
         for key in earlier_keys:
@@ -389,7 +352,7 @@
             runs = (
                 earlier_link.capacity.run_by_key
                 if earlier_link
-                else self._orphans_by_worker[key]
+                else self._runs.orphans_by_worker[key]
             )
             for run in list(runs.values()):
                 if key[0] == worker and self._is_start_in_transit(run, now_ms):
@@ -397,19 +360,9 @@
                     run.incarnation_key = link.key
                     run.is_stopping = True
                     link.capacity.run_by_key[run.key] = run
-            self._discard_orphans(key, 'worker restarted')
+            self._runs.discard_orphans(key, 'worker restarted')
             self._remove_worker(key, 'worker restarted')
 
-    def _vm_by_worker(self) -> dict[fleet.WorkerKey, str]:
-        """Return the VM of each known incarnation of a worker."""
-        vm_by_key = {
-            key: next(iter(runs.values())).run.vm
-            for key, runs in self._orphans_by_worker.items()
-        }
-        for key, link in self._link_by_key.items():
-            vm_by_key[key] = link.vm
-        return vm_by_key
-
     def _is_start_in_transit(self, run: ActiveRun, now_ms: int) -> bool:
         """Whether an order to start a run may still be in transit."""
         if not run.is_recorded:
@@ -439,7 +392,7 @@
                 )
                 run.last_progress_ms = now_ms
                 run.sent_sequence = run.sent_sequence or link.sequence or 1
-                self._record_decision(
+                self._runs.record_decision(
                     'run confirmed',
                     run,
                     after_ms=now_ms - run.started_ms,
@@ -490,14 +443,14 @@
         run_end = _parse_run_end(end.how)
         self._metrics.count('runs_ended_total', run_end.value)
         job, task = run.job, run.task
-        self._record_decision(
+        self._runs.record_decision(
             'run ended',
             run,
             how=run_end.value,
             failures=task.failures,
             progress=run.progress,
         )
-        self._remove_run(link, run)
+        self._runs.remove(link, run)
         if end.checkpoint:
             self._set_checkpoint(run, end.checkpoint)
         if run_end is jobs.RunEnd.DONE:
@@ -507,7 +460,7 @@
             health.note_failure(link.capacity, now_ms, self._options.plan)
             self._on_run_failed(run)
         if run_end is not jobs.RunEnd.DONE:
-            self._stop_other_members(run, 'another gang member ended')
+            self._runs.stop_other_members(run, 'another gang member ended')
         event = record_cache.EndRecorded(
             link.capacity.worker, link.capacity.boot, end.sequence
         )
@@ -566,9 +519,9 @@
         for done_task in _tasks_done_together(job, task):
             done_task.is_done = True
             if done_task.run is not None:
-                repeated = self._find_run(job, done_task)
+                repeated = self._runs.find(job, done_task)
                 if repeated is not None:
-                    self._stop_run(repeated, 'repeats a run that was done')
+                    self._runs.stop(repeated, 'repeats a run that was done')
 
     def _on_run_done(self, run: ActiveRun) -> None:
         if run.step.is_lasting:
@@ -615,21 +568,8 @@
             self._records.mark_dirty(job.job_id)
         if job.state is jobs.JobState.COMPLETED:
             return
-        for run in self._active_runs_of(job):
-            self._stop_run(run, reason)
-
-    def _active_runs_of(self, job: jobs.Job) -> list[ActiveRun]:
-        found = []
-        for task in job.active_tasks():
-            run = self._find_run(job, task)
-            if run is not None:
-                found.append(run)
-        return found
-
-    def _find_run(self, job: jobs.Job, task: jobs.Task) -> ActiveRun | None:
-        assert task.run is not None
-        name = jobs.task_name(job.job_id, task.key)
-        return self._run_by_key.get((name, task.run.number))
+        for run in self._runs.active_runs_of(job):
+            self._runs.stop(run, reason)
 
     def _discard_unlisted_runs(
         self, link: fleet.WorkerLink, report: messages.WorkerReport
@@ -644,79 +584,7 @@
             if not run.sent_sequence and not run.is_inherited:
                 continue
             if run.sent_sequence <= report.orders_sequence:
-                self._discard_run(run, 'worker does not list the run')
-
-    def _stop_run(self, run: ActiveRun, reason: str) -> None:
-        """Stop a run; its resources stay reserved until its end is listed.
-
-        :param reason: text for the log; its first word is the label of
-            the metric.
-        """
-        if run.is_stopping:
-            return
-        run.is_stopping = True
-        self._metrics.count('runs_stopped_total', reason.partition(' ')[0])
-        self._record_decision(
-            'run stopping',
-            run,
-            reason=reason,
-            progress=run.progress,
-            lost_core_s=round(
-                valuation.lost_core_seconds(
-                    run, self._last_planned_ms, self._options.plan
-                )
-            ),
-        )
-        if run.is_recorded and not run.sent_ms and not run.is_inherited:
-            self._discard_run(run, reason)
-            return
-        link = self._link_by_key.get(run.incarnation_key)
-        if link is not None:
-            link.has_pending_orders = True
-
-    def _stop_other_members(self, run: ActiveRun, reason: str) -> None:
-        """Stop the runs of the other members, if the run is in a gang."""
-        if not run.step.is_gang:
-            return
-        key = run.task.key
-        for task in run.job.tasks_of(key.repetition, key.step):
-            if task.run is None or task.run.number != run.run.number:
-                continue
-            other = self._find_run(run.job, task)
-            if other is not None and other is not run:
-                self._stop_run(other, reason)
-
-    def _discard_run(self, run: ActiveRun, reason: str) -> None:
-        """Discard a run that cannot have started or is no longer running."""
-        if run.task.run != run.run:
-            return
-        self._record_decision(
-            'run discarded',
-            run,
-            reason=reason,
-        )
-        link = self._link_by_key.get(run.incarnation_key)
-        self._remove_run(link, run)
-        self._stop_other_members(run, 'another gang member did not start')
-        self._records.mark_dirty(run.job.job_id)
-
-    def _remove_run(
-        self, link: fleet.WorkerLink | None, run: ActiveRun
-    ) -> None:
-        run.task.run = None
-        self._run_by_key.pop(run.key, None)
-        self._needs_plan = True
-        if link is not None:
-            link.capacity.run_by_key.pop(run.key, None)
-            link.capacity.recompute_free()
-
-    def _discard_all_runs(self, link: fleet.WorkerLink, reason: str) -> None:
-        for run in list(link.capacity.run_by_key.values()):
-            self._discard_run(run, reason)
-
-    def _discard_orphans(self, key: fleet.WorkerKey, reason: str) -> None:
-        for run in list(self._orphans_by_worker.pop(key, {}).values()):
-            self._discard_run(run, reason)
+                self._runs.discard(run, 'worker does not list the run')
 
     def _remove_worker(self, key: fleet.WorkerKey, reason: str) -> None:
         """Remove an incarnation of a worker that can run nothing."""
@@ -724,7 +592,7 @@
         if link is None:
             return
         _log.info('worker removed', worker=key[0], boot=key[1], reason=reason)
-        self._discard_all_runs(link, reason)
+        self._runs.discard_all_of(link, reason)
         del self._link_by_key[key]
         self._key_by_node.pop(link.node, None)
 
@@ -743,8 +611,8 @@
             now_ms - self._term_started_ms
             > options.worker_timeout_ms + options.confirmation_valid_ms
         ):
-            for key in list(self._orphans_by_worker):
-                self._discard_orphans(
+            for key in list(self._runs.orphans_by_worker):
+                self._runs.discard_orphans(
                     key, 'worker did not report to this leader'
                 )
         for job_id in list(self._known_job_ids):
@@ -776,11 +644,12 @@
         interval_ms = self._options.replan_interval_ms
         if self._blocked_reason_by_step:
             interval_ms = self._options.waiting_replan_interval_ms
-        is_replan_due = now_ms - self._last_planned_ms >= interval_ms
-        if not self._needs_plan and not is_replan_due:
+        is_replan_due = now_ms - self._runs.planned_ms >= interval_ms
+        if not (self._needs_plan or self._runs.has_changed or is_replan_due):
             return
         self._needs_plan = False
-        self._last_planned_ms = now_ms
+        self._runs.has_changed = False
+        self._runs.planned_ms = now_ms
         capacities = [
             link.capacity
             for link in self._link_by_key.values()
@@ -803,8 +672,8 @@
             may_preempt=not is_starting_up,
         )
         for stop in plan.stops:
-            self._stop_run(stop.run, stop.reason)
-            self._stop_other_members(stop.run, stop.reason)
+            self._runs.stop(stop.run, stop.reason)
+            self._runs.stop_other_members(stop.run, stop.reason)
         for start in plan.starts:
             self._start_run(start, now_ms, wall_ms)
         self._record_blocked_steps(plan.blocked)
@@ -816,7 +685,7 @@
         """
         return (
             bool(self._link_by_key)
-            and not self._orphans_by_worker
+            and not self._runs.orphans_by_worker
             and now_ms - self._last_synced_ms >= self._options.startup_quiet_ms
         )
 
@@ -859,9 +728,9 @@
             now_ms,
             last_progress_ms=now_ms,
         )
-        self._run_by_key[run.key] = run
+        self._runs.run_by_key[run.key] = run
         worker.run_by_key[run.key] = run
-        self._record_decision(
+        self._runs.record_decision(
             'run planned',
             run,
             free_accelerators=worker.free_accelerators,
