Share the searches of a planning round among steps with the same demand

Cause: on a full fleet each waiting job searched all workers and their runs for its earliest start, up to three times, and for what to preempt: a round grew with the product of waiting jobs and workers. Change: slots of the fleet are searched once for each demand and kept until free capacity changes; workers that may run a step are listed once for each demand; what fits on the empty fleet is counted by rack and size of worker; a preemption that cannot pay off is not searched for. Tests: the number of searches with 10 and with 40 waiting gangs, the counts by shape; both fail on the version before.

--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/capacity.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/capacity.py
@@ -14,6 +14,33 @@
 RunKey: t.TypeAlias = tuple[str, int]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskDemand:
+    """What one task of a step needs of a worker.
+
+    Steps with the same demand share the searches of a planning round.
+
+    :param cpu_millis: thousandths of a core; ``0`` for a filler task.
+    """
+
+    cpu_millis: int
+    memory_mb: int
+    accelerators: int
+    max_per_worker: int
+    label: str
+
+    @classmethod
+    def from_step(cls, step: jobs.Step) -> 'TaskDemand':
+        """Return the demand of each task of a step."""
+        return cls(
+            0 if step.is_filler else step.cpu_millis,
+            step.memory_mb,
+            step.accelerators,
+            step.max_per_worker,
+            step.label,
+        )
+
+
 @dataclasses.dataclass(slots=True)
 class ActiveRun:
     """A task's current run, with state that is not in the store.
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
@@ -14,6 +14,7 @@
 from . import placement
 from . import valuation
 from .capacity import ActiveRun
+from .capacity import TaskDemand
 from .capacity import WorkerCapacity
 from .evacuation import Evacuation
 from .options import PlanOptions
@@ -99,6 +100,8 @@
     :param guaranteed_ids: ids of the guaranteed jobs.
     :param may_preempt: whether runs may be preempted.
     :param other_capacity: capacity left for jobs that are not urgent.
+    :param eligible_by_demand: workers that may receive tasks, by service and
+        demand.
     """
 
     workers: list[WorkerCapacity]
@@ -110,6 +113,9 @@
     other_capacity: OtherCapacity
     plan: Plan = dataclasses.field(default_factory=Plan)
     reservations: list[Reservation] = dataclasses.field(default_factory=list)
+    eligible_by_demand: dict[tuple[str, TaskDemand], list[WorkerCapacity]] = (
+        dataclasses.field(default_factory=dict)
+    )
 
 
 class JobPlanner:
@@ -296,9 +302,14 @@
         self, pending: _PendingStep, state: _RoundState
     ) -> list[WorkerCapacity]:
         service = service_of(pending.job, state.catalogue)
-        return placement.eligible_workers(
-            pending.step, service, state.workers, state.now_ms
-        )
+        key = (service, TaskDemand.from_step(pending.step))
+        eligible = state.eligible_by_demand.get(key)
+        if eligible is None:
+            eligible = placement.eligible_workers(
+                pending.step, service, state.workers, state.now_ms
+            )
+            state.eligible_by_demand[key] = eligible
+        return eligible
 
     def _place_gang(
         self,
@@ -489,15 +500,24 @@
         if job.terms.priority != 0 or not state.may_preempt:
             return False
         is_guaranteed = job.job_id in state.guaranteed_ids
-        if not is_guaranteed and self._max_cost(job, None, state) <= (
-            self._options.base_preemption_cost
-        ):
+        spent = self._preemption_cost_by_job.get(job.job_id)
+        least_cost = self._options.base_preemption_cost
+        # The searches below are left out if they cannot pay off. A job that
+        # has preempted already waits for runs that stop at no further cost.
+        is_bounded = not is_guaranteed and spent is None
+        if is_bounded and least_cost > self._max_cost(job, None, state):
             return False
         unstarted = [
             task
             for task in pending.tasks
             if task.run is None and not self._is_starting(task, state)
         ]
+        without_preemption = self._find_reservation(
+            pending, len(unstarted), workers, state, in_one_rack=in_one_rack
+        )
+        max_cost = self._max_cost(job, without_preemption, state)
+        if is_bounded and least_cost > max_cost:
+            return False
         preemption = self._preemption_planner.find(
             job,
             pending.step,
@@ -510,18 +530,13 @@
         )
         if preemption is None:
             return False
-        total_cost = (
-            self._preemption_cost_by_job.get(job.job_id, 0.0) + preemption.cost
-        )
-        without_preemption = self._find_reservation(
-            pending, len(unstarted), workers, state, in_one_rack=in_one_rack
-        )
+        total_cost = (spent or 0.0) + preemption.cost
         if is_guaranteed:
             if preemption.victims and self._starts_soon(
                 pending, without_preemption, state
             ):
                 return False
-        elif total_cost > self._max_cost(job, without_preemption, state):
+        elif total_cost > max_cost:
             return False
         self._preemption_cost_by_job[job.job_id] = total_cost
         self._preemption_planner.accept(preemption)
@@ -633,11 +648,14 @@
             )
         return pending.reservation_by_key[key]
 
-    @staticmethod
     def _commit(
-        step: jobs.Step, tasks_by_worker: dict[str, int], state: _RoundState
+        self,
+        step: jobs.Step,
+        tasks_by_worker: dict[str, int],
+        state: _RoundState,
     ) -> None:
         """Withhold capacity from the other steps of this round."""
+        self._reservation_finder.forget_slots()
         for worker in state.workers:
             worker.commit(step, tasks_by_worker.get(worker.worker, 0))
 
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/reservation.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/reservation.py
@@ -10,10 +10,15 @@
 from mulberryloom_core.request import jobs
 
 from . import valuation
+from .capacity import TaskDemand
 from .capacity import WorkerCapacity
 
 #: Time at which a task is expected to end, and its step.
 _ExpectedEnd: t.TypeAlias = tuple[int, jobs.Step]
+#: Time from which a task fits on a worker, and the worker's id.
+_Slot: t.TypeAlias = tuple[int, str]
+#: Stands for any number of tasks in a search that several steps share.
+_UNLIMITED_TASKS = 1_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -41,11 +46,16 @@
         self._starts_by_worker: dict[str, list[_ExpectedEnd]] = {}
         # Those of all tasks, earliest first, computed once in a round.
         self._ends_by_worker: dict[str, list[_ExpectedEnd]] = {}
+        # By demand, whether in one rack, and ids of the workers.
+        self._slots_by_search: dict[
+            tuple[TaskDemand, bool, tuple[str, ...]], list[list[_Slot]]
+        ] = {}
 
     def begin_round(self) -> None:
         """Forget the starts and ends of the last planning round."""
         self._starts_by_worker = collections.defaultdict(list)
         self._ends_by_worker.clear()
+        self._slots_by_search.clear()
 
     def add_start(
         self, step: jobs.Step, worker: WorkerCapacity, now_ms: int
@@ -54,6 +64,7 @@
         end_ms = now_ms + self._estimator.task_duration_ms(step)
         self._starts_by_worker[worker.worker].append((end_ms, step))
         self._ends_by_worker.pop(worker.worker, None)
+        self._slots_by_search.clear()
 
     def find(
         self,
@@ -70,51 +81,63 @@
         :param workers: workers that may receive the tasks.
         :param in_one_rack: whether all tasks have to share a rack.
         """
-        groups = [workers]
-        if in_one_rack:
-            by_rack: dict[str, list[WorkerCapacity]] = {}
-            for worker in workers:
-                by_rack.setdefault(worker.rack, []).append(worker)
-            groups = list(by_rack.values())
         reservations = [
             reservation
-            for group in groups
-            for reservation in [self._earliest(step, count, group, now_ms)]
+            for slots in self._slots_of_groups(
+                step, workers, now_ms, in_one_rack
+            )
+            for reservation in [_earliest(step, count, slots)]
             if reservation is not None
         ]
         return min(reservations, key=lambda item: item.start_ms, default=None)
 
-    def _earliest(
+    def forget_slots(self) -> None:
+        """Forget the slots that were found, since free capacity changed."""
+        self._slots_by_search.clear()
+
+    def _slots_of_groups(
         self,
         step: jobs.Step,
-        count: int,
         workers: list[WorkerCapacity],
         now_ms: int,
-    ) -> Reservation | None:
-        """Return the earliest start on a group of workers, if there is one."""
-        slots: list[tuple[int, str]] = []
+        in_one_rack: bool,
+    ) -> list[list[_Slot]]:
+        """Return the slots of each group of workers, earliest first.
+
+        They are searched once for all steps with the same demand and
+        workers, until free capacity changes.
+        """
+        search = (
+            TaskDemand.from_step(step),
+            in_one_rack,
+            tuple(worker.worker for worker in workers),
+        )
+        groups = self._slots_by_search.get(search)
+        if groups is not None:
+            return groups
+        workers_by_rack: dict[str, list[WorkerCapacity]] = {}
         for worker in workers:
-            slots += self._slots(step, worker, now_ms)
-        slots.sort()
-        if len(slots) < count:
-            return None
-        tasks_by_worker: dict[str, int] = {}
-        for _, name in slots[:count]:
-            tasks_by_worker[name] = tasks_by_worker.get(name, 0) + 1
-        return Reservation(step, tasks_by_worker, slots[count - 1][0])
+            rack = worker.rack if in_one_rack else ''
+            workers_by_rack.setdefault(rack, []).append(worker)
+        unlimited = dataclasses.replace(step, tasks=_UNLIMITED_TASKS)
+        groups = [
+            sorted(
+                slot
+                for worker in group
+                for slot in self._slots(unlimited, worker, now_ms)
+            )
+            for group in workers_by_rack.values()
+        ]
+        self._slots_by_search[search] = groups
+        return groups
 
     def _slots(
         self, step: jobs.Step, worker: WorkerCapacity, now_ms: int
-    ) -> list[tuple[int, str]]:
-        """Return slots for single tasks on a worker, earliest first.
-
-        Each slot is the time at which it becomes free and the worker's id.
-        """
+    ) -> list[_Slot]:
+        """Return slots for single tasks on a worker, earliest first."""
         capacity = worker.free_capacity()
         slots = [(now_ms, worker.worker)] * capacity.fitting_count(step)
         for end_ms, ended_step in self._expected_ends(worker, now_ms):
-            if len(slots) >= step.tasks:
-                break
             capacity.release(ended_step)
             fits = capacity.fitting_count(step)
             slots += [(end_ms, worker.worker)] * (fits - len(slots))
@@ -137,3 +160,18 @@
             ends.sort(key=lambda item: item[0])
             self._ends_by_worker[worker.worker] = ends
         return ends
+
+
+def _earliest(
+    step: jobs.Step, count: int, slots: list[_Slot]
+) -> Reservation | None:
+    """Return the earliest start on a group of workers, if there is one.
+
+    :param slots: slots of the group, earliest first.
+    """
+    if len(slots) < count:
+        return None
+    tasks_by_worker: dict[str, int] = {}
+    for _, name in slots[:count]:
+        tasks_by_worker[name] = tasks_by_worker.get(name, 0) + 1
+    return Reservation(step, tasks_by_worker, slots[count - 1][0])
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/valuation.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/valuation.py
@@ -1,6 +1,5 @@
 """Value of a job to its caller, depending on when it completes."""
 
-import collections
 import dataclasses
 import math
 import typing as t
@@ -9,6 +8,7 @@
 
 from .capacity import ActiveRun
 from .capacity import WorkerCapacity
+from .fleet_shape import FleetShape
 from .options import PlanOptions
 
 #: Value of a job by its priority, relative to the lowest priority. The
@@ -76,29 +76,6 @@
         return self.value_share_at(wall_ms + delay_ms + self.remaining_ms)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _FleetFit:
-    """How a step fits on a fleet on which nothing else runs.
-
-    :param slots: number of its tasks that run at a time.
-    :param is_in_one_rack: whether some rack fits all of them.
-    """
-
-    slots: int
-    is_in_one_rack: bool
-
-    @classmethod
-    def from_workers(
-        cls, step: jobs.Step, workers: list[WorkerCapacity]
-    ) -> '_FleetFit':
-        """Count the tasks that fit on each rack."""
-        slots_by_rack: collections.Counter[str] = collections.Counter()
-        for worker in workers:
-            slots_by_rack[worker.rack] += worker.fitting_count_when_empty(step)
-        widest = max(slots_by_rack.values(), default=0)
-        return cls(slots_by_rack.total(), widest >= step.tasks)
-
-
 class Estimator:
     """Estimates durations and values of jobs.
 
@@ -111,11 +88,7 @@
         # Sum of the sizes in core-milliseconds, and number of jobs.
         self._total_and_count_by_queue: dict[str, tuple[float, int]] = {}
         self._deadlines_by_id: dict[str, JobDeadlines] = {}
-        self._workers: list[WorkerCapacity] = []
-        # Incarnations of the workers for which the slots were counted.
-        self._fleet_key: frozenset[tuple[str, int]] = frozenset()
-        # By id of the job, for each of its steps.
-        self._fits_by_id: dict[str, list[_FleetFit]] = {}
+        self._fleet = FleetShape()
 
     def begin_round(
         self,
@@ -127,15 +100,10 @@
         Jobs that are no longer open still count in the mean. Deadlines are
         computed once for each job in a round.
 
-        :param workers: the fleet; how many tasks of a step fit on it is
-            counted once for each job, and anew when the fleet changes.
+        :param workers: the fleet.
         """
         self._deadlines_by_id.clear()
-        self._workers = workers
-        fleet_key = frozenset((w.worker, w.boot) for w in workers)
-        if fleet_key != self._fleet_key:
-            self._fleet_key = fleet_key
-            self._fits_by_id.clear()
+        self._fleet.update(workers)
         core_ms_by_id = {}
         for job in open_jobs:
             core_ms = self._core_ms_by_id.get(job.job_id)
@@ -150,8 +118,6 @@
                 )
             core_ms_by_id[job.job_id] = core_ms
         self._core_ms_by_id = core_ms_by_id
-        for job_id in self._fits_by_id.keys() - core_ms_by_id.keys():
-            del self._fits_by_id[job_id]
 
     def _core_ms(self, job: jobs.Job) -> float:
         """Return the declared size of a job, in core-milliseconds."""
@@ -208,10 +174,12 @@
         """
         durations_ms = [
             self.task_duration_ms(step)
-            * _wave_count(step, step.tasks, fit.slots // _FLEET_PARTS)
-            for step, fit in zip(
-                job.spec.steps, self._fleet_fits(job), strict=True
+            * _wave_count(
+                step,
+                step.tasks,
+                self._fleet.fit_of(step).slots // _FLEET_PARTS,
             )
+            for step in job.spec.steps
         ]
         return _longest_path_ms(job, durations_ms)
 
@@ -225,11 +193,10 @@
         :param counts: tasks of each step that are not done.
         """
         durations_ms = []
-        for step, fit, count in zip(
-            job.spec.steps, self._fleet_fits(job), counts, strict=True
-        ):
+        for step, count in zip(job.spec.steps, counts, strict=True):
+            fit = self._fleet.fit_of(step)
             duration_ms = self.task_duration_ms(step)
-            if step.is_same_rack and not fit.is_in_one_rack:
+            if step.is_same_rack and fit.widest_rack < step.tasks:
                 duration_ms = int(duration_ms * self._options.spread_factor)
             waves = _wave_count(step, count, fit.slots)
             durations_ms.append(duration_ms * waves)
@@ -261,17 +228,6 @@
         slack_ms = max(0, deadlines.slack_ms(wall_ms))
         return math.log(density) - slack_ms / _URGENCY_SCALE_MS
 
-    def _fleet_fits(self, job: jobs.Job) -> list['_FleetFit']:
-        """Return how each step of a job fits on the empty fleet."""
-        fits = self._fits_by_id.get(job.job_id)
-        if fits is None:
-            fits = [
-                _FleetFit.from_workers(step, self._workers)
-                for step in job.spec.steps
-            ]
-            self._fits_by_id[job.job_id] = fits
-        return fits
-
     def deadlines(self, job: jobs.Job) -> JobDeadlines:
         """Return the deadlines of a job, from a cache within a round."""
         cached = self._deadlines_by_id.get(job.job_id)
--- a/packages/mulberryloom-policy/tests/test_job_planner.py
+++ b/packages/mulberryloom-policy/tests/test_job_planner.py
@@ -3,6 +3,8 @@
 from mulberryloom_core.request import jobs
 from mulberryloom_core.version import catalogue as catalogues
 from mulberryloom_policy import jobs as policy
+from mulberryloom_policy.jobs import fleet_shape
+from mulberryloom_policy.jobs import reservation
 import pytest
 
 NOW_MS = 1_000_000
@@ -545,3 +547,37 @@
     large = region.submit(_step(2, 8, is_gang=True, estimate_ms=60_000))
     region.run_round(100)
     assert len(region.runs(large)) == 2
+
+
+def test_searches_of_a_round_do_not_grow_with_the_waiting_jobs(monkeypatch):
+    """Many gangs with the same demand wait on a full fleet."""
+    calls = []
+    search = reservation.ReservationFinder._slots
+
+    def record_search(self, *given):
+        calls.append(1)
+        return search(self, *given)
+
+    monkeypatch.setattr(reservation.ReservationFinder, '_slots', record_search)
+    calls_by_waiting = {}
+    for waiting in (10, 40):
+        region = Region([_worker(index) for index in range(20)])
+        region.submit(_step(160, 1), priority=0, account='x')
+        region.run_round()
+        for _ in range(waiting):
+            region.submit(_step(2, 4, is_gang=True), priority=0, account='x')
+        calls.clear()
+        region.run_round(100)
+        calls_by_waiting[waiting] = len(calls)
+    assert calls_by_waiting[40] == calls_by_waiting[10]
+
+
+def test_fits_of_the_fleet_are_counted_by_shape_not_by_worker_and_job():
+    fleet = fleet_shape.FleetShape()
+    workers = [_worker(index, f'r{index % 4}') for index in range(400)]
+    fleet.update(workers)
+    fit = fleet.fit_of(_step(3, 4))
+    assert (fit.slots, fit.widest_rack) == (800, 200)
+    assert fleet.fit_of(_step(30, 4)) is fit
+    fleet.update(workers[:-1])
+    assert fleet.fit_of(_step(3, 4)).slots == 798
