Preempt other urgent work later, and survive an event that fails

And an event of a peer that fails ended the receive task of an entry or agent: the log call had two arguments named event. Change: a guaranteed job preempts other urgent work after 1.2 s of waiting, until then only work of lower priority. The log field is named received.

--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/agent.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/agent.py
@@ -153,7 +153,7 @@
                 self._on_event(event)
             except Exception:
                 _log.exception(
-                    'event handling failed', event=type(event).__name__
+                    'event handling failed', received=type(event).__name__
                 )
             self._wake.set()
 
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/entry.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/entry.py
@@ -268,7 +268,7 @@
                 self._on_event(event)
             except Exception:
                 _log.exception(
-                    'event handling failed', event=type(event).__name__
+                    'event handling failed', received=type(event).__name__
                 )
 
     def _on_event(self, event: t.Any) -> None:
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -26,7 +26,6 @@
 from mulberryloom_policy.jobs import JobPlanner
 from mulberryloom_policy.jobs import planner
 from mulberryloom_policy.jobs import PlanOptions
-from mulberryloom_policy.jobs import valuation
 import structlog
 
 from . import decisions
--- a/packages/mulberryloom-entry/tests/test_job_entry.py
+++ b/packages/mulberryloom-entry/tests/test_job_entry.py
@@ -11,6 +11,7 @@
 from mulberryloom_entry.jobs import entry as entries
 from mulberryloom_entry.jobs import keys
 from mulberryloom_standins.store import core as store_core
+import pytest
 
 
 class StandinStore:
@@ -128,3 +129,27 @@
         assert standin_store.core.state.get(keys.LEADER) is None
 
     asyncio.run(scenario())
+
+
+class FailingReceiver:
+    """Stands for an entry whose handling of every event fails."""
+
+    def __init__(self):
+        self.handled = 0
+        self._node = self
+
+    async def receive(self):
+        if self.handled == 3:
+            raise asyncio.CancelledError
+        return object()
+
+    def _on_event(self, _event):
+        self.handled += 1
+        raise ValueError('cannot be handled')
+
+
+def test_failed_event_does_not_end_the_receive_task():
+    receiver = FailingReceiver()
+    with pytest.raises(asyncio.CancelledError):
+        asyncio.run(entries.JobEntry._receive(receiver))
+    assert receiver.handled == 3
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/options.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/options.py
@@ -36,6 +36,9 @@
     :param preemption_delay_ms: how long guaranteed work waits for capacity
         that is expected to become free before it preempts other work; a
         small part of the time in which it has to start.
+    :param urgent_preemption_delay_ms: how long it waits before it preempts
+        other urgent work, which loses its value by that. The rest of the
+        time in which it has to start covers the stop and the start.
     :param restart_wait_ms: expected time until a preempted task finds
         capacity again.
     :param stall_timeout_ms: minimum time without progress after which a run
@@ -61,6 +64,7 @@
     base_preemption_cost: float = 0.03
     max_cost_to_gain_ratio: float = 0.5
     preemption_delay_ms: int = 600
+    urgent_preemption_delay_ms: int = 1_200
     restart_wait_ms: int = 2_000
     stall_timeout_ms: int = 2_800
     drain_margin_ms: int = 500
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
@@ -525,7 +525,7 @@
             workers,
             state.now_ms,
             state.wall_ms,
-            state.guaranteed_ids,
+            self._ids_above_urgent_work(pending, state),
             in_one_rack=in_one_rack,
         )
         if preemption is None:
@@ -545,6 +545,14 @@
         self._commit(pending.step, preemption.tasks_by_worker, state)
         return True
 
+    def _ids_above_urgent_work(
+        self, pending: _PendingStep, state: _RoundState
+    ) -> set[str]:
+        """Return the ids of jobs that may preempt other urgent jobs now."""
+        if pending.waited_ms < self._options.urgent_preemption_delay_ms:
+            return set()
+        return state.guaranteed_ids
+
     @staticmethod
     def _is_starting(task: jobs.Task, state: _RoundState) -> bool:
         return any(start.task is task for start in state.plan.starts)
