Let a submission with an open outcome wait for the store

Change: while an earlier outcome of the same job is open, a submission is tried until its limit of 1.5 s. Test: test_retry_with_unknown_outcome_waits_for_the_store fails without it. Ruled out: the replaced leader and the entry that was cut off before, they lost no job.

--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/intake.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/intake.py
@@ -120,6 +120,10 @@
         request = store.Transact({key: 0}, {key: value})
         deadline_ms = self._clock.now_ms() + limit_ms
         ran = exceptions.Ran.NO
+        if job_id in self._unknown_ids:
+            # An earlier call may have stored the job; wait for the store to
+            # tell, since the caller cannot retry in the dark for long.
+            ran = exceptions.Ran.UNKNOWN
         while True:
             answer = await self._store.call(request)
             if answer.is_ok():
@@ -179,9 +183,6 @@
     ) -> Result[None, exceptions.Error]:
         if ran is exceptions.Ran.UNKNOWN:
             self._remember_unknown(job_id)
-        elif job_id in self._unknown_ids:
-            # This call has not stored the job, but an earlier one may have.
-            ran = exceptions.Ran.UNKNOWN
         self._metrics.count('submissions_total', f'refused-{ran.value}')
         detail = f'job record {job_id} not stored: store reported a conflict'
         if answer.is_err():
--- a/packages/mulberryloom-entry/tests/test_job_intake.py
+++ b/packages/mulberryloom-entry/tests/test_job_intake.py
@@ -338,6 +338,21 @@
         assert result.unwrap_err().ran is exceptions.Ran.UNKNOWN
 
 
+def test_retry_with_unknown_outcome_waits_for_the_store():
+    """Its caller has few retries; the store answers again within them."""
+    direct_store = FaultyStore()
+    job_intake, _, _ = _make_intake(direct_store)
+
+    async def submit_twice():
+        direct_store.lost_answers = 100
+        await job_intake.submit(JOB_ID, SPEC, TERMS, 100)
+        direct_store.lost_answers = 0
+        direct_store.refused_calls = 2
+        return await job_intake.submit(JOB_ID, SPEC, TERMS, 1_500)
+
+    assert asyncio.run(submit_twice()).is_ok()
+
+
 def test_circuit_opens_on_consecutive_failures_only():
     circuit = store_circuit.StoreCircuit()
     circuit.record_failure(0)
