Move the result and the state of a round out of the planner

Change: plan.py has what a round decides, round_state.py its input and its reservations. No line of a function changes but for names that lose their underscore. Test: as before; the tests of policy, entry and the load patterns ran.

--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/__init__.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/__init__.py
@@ -10,8 +10,8 @@
 from .capacity import ActiveRun
 from .capacity import WorkerCapacity
 from .options import PlanOptions
+from .plan import Plan
 from .planner import JobPlanner
-from .planner import Plan
 
 __all__ = [
     'ActiveRun',
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
@@ -5,7 +5,6 @@
 """
 
 import collections
-import dataclasses
 import typing as t
 
 from mulberryloom_core.request import jobs
@@ -13,111 +12,26 @@
 
 from . import placement
 from . import valuation
-from .capacity import ActiveRun
 from .capacity import TaskDemand
 from .capacity import WorkerCapacity
 from .evacuation import Evacuation
 from .options import PlanOptions
+from .plan import Blocked
+from .plan import Plan
+from .plan import Start
+from .plan import Stop
 from .preemption import PreemptionPlanner
 from .reservation import Reservation
 from .reservation import ReservationFinder
-from .urgent_load import OtherCapacity
+from .round_state import Backfill
+from .round_state import PendingStep
+from .round_state import RoundState
 from .urgent_load import UrgentLoad
 
 #: Minimum number of accelerators of a task for which capacity is reserved.
 _LARGE_TASK_ACCELERATORS = 4
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Start:
-    """A task to start on a worker."""
-
-    job: jobs.Job
-    task: jobs.Task
-    worker: WorkerCapacity
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Stop:
-    """A run to stop.
-
-    :param reason: short text for the log; its first word is the label of a
-        metric.
-    """
-
-    run: ActiveRun
-    reason: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Blocked:
-    """A step that is ready to run and does not fit.
-
-    :param reason: short text for the log.
-    """
-
-    job: jobs.Job
-    step_index: int
-    reason: str
-
-
-@dataclasses.dataclass(slots=True)
-class Plan:
-    """Decisions of one planning round."""
-
-    starts: list[Start] = dataclasses.field(default_factory=list)
-    stops: list[Stop] = dataclasses.field(default_factory=list)
-    blocked: list[Blocked] = dataclasses.field(default_factory=list)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _PendingStep:
-    """A step that is ready to run and has tasks without a run.
-
-    :param tasks: the tasks without a run.
-    :param waited_ms: time since the step became pending.
-    :param reservation_by_key: earliest starts that were searched for, by
-        number of tasks and whether all have to share a rack.
-    """
-
-    job: jobs.Job
-    repetition: int
-    step_index: int
-    step: jobs.Step
-    tasks: list[jobs.Task]
-    waited_ms: int
-    reservation_by_key: dict[tuple[int, bool], Reservation | None] = (
-        dataclasses.field(default_factory=dict)
-    )
-
-
-@dataclasses.dataclass(slots=True)
-class _RoundState:
-    """Input, result and reservations of one planning round.
-
-    :param now_ms: monotonic time.
-    :param wall_ms: Unix time.
-    :param guaranteed_ids: ids of the guaranteed jobs.
-    :param may_preempt: whether runs may be preempted.
-    :param other_capacity: capacity left for jobs that are not urgent.
-    :param eligible_by_demand: workers that may receive tasks, by service and
-        demand.
-    """
-
-    workers: list[WorkerCapacity]
-    catalogue: catalogues.Catalogue
-    now_ms: int
-    wall_ms: int
-    guaranteed_ids: set[str]
-    may_preempt: bool
-    other_capacity: OtherCapacity
-    plan: Plan = dataclasses.field(default_factory=Plan)
-    reservations: list[Reservation] = dataclasses.field(default_factory=list)
-    eligible_by_demand: dict[tuple[str, TaskDemand], list[WorkerCapacity]] = (
-        dataclasses.field(default_factory=dict)
-    )
-
-
 class JobPlanner:
     """Plans all jobs of a region.
 
@@ -176,7 +90,7 @@
             ),
             wall_ms,
         )
-        state = _RoundState(
+        state = RoundState(
             workers,
             catalogue,
             now_ms,
@@ -207,9 +121,7 @@
         }
         return state.plan
 
-    def _sort_key(
-        self, job: jobs.Job, state: _RoundState
-    ) -> tuple[t.Any, ...]:
+    def _sort_key(self, job: jobs.Job, state: RoundState) -> tuple[t.Any, ...]:
         """Return the sort key of a job.
 
         Guaranteed jobs go before others. Within both groups, jobs that
@@ -240,7 +152,7 @@
         now_ms: int,
         wall_ms: int,
         pending_since_by_step: dict[tuple[str, int, int], int],
-    ) -> t.Iterator[_PendingStep]:
+    ) -> t.Iterator[PendingStep]:
         """Yield the steps of a job that are ready and have tasks to start.
 
         A gang starts as a whole: it is left out while any of its tasks has a
@@ -266,7 +178,7 @@
                 key = (job.job_id, repetition, step_index)
                 since_ms = self._pending_since_by_step.get(key, now_ms)
                 pending_since_by_step[key] = since_ms
-                yield _PendingStep(
+                yield PendingStep(
                     job,
                     repetition,
                     step_index,
@@ -277,7 +189,7 @@
 
     # Placement
 
-    def _place(self, pending: _PendingStep, state: _RoundState) -> None:
+    def _place(self, pending: PendingStep, state: RoundState) -> None:
         eligible = self._eligible_workers(pending, state)
         step, count = pending.step, len(pending.tasks)
         if _blocks_urgent_jobs(pending.job, step):
@@ -299,7 +211,7 @@
             self._place_tasks(pending, eligible, state)
 
     def _eligible_workers(
-        self, pending: _PendingStep, state: _RoundState
+        self, pending: PendingStep, state: RoundState
     ) -> list[WorkerCapacity]:
         service = service_of(pending.job, state.catalogue)
         key = (service, TaskDemand.from_step(pending.step))
@@ -313,9 +225,9 @@
 
     def _place_gang(
         self,
-        pending: _PendingStep,
+        pending: PendingStep,
         eligible: list[WorkerCapacity],
-        state: _RoundState,
+        state: RoundState,
     ) -> None:
         preferred = self._preferred_workers(pending, eligible, state)
         in_one_rack = pending.step.is_same_rack
@@ -341,24 +253,24 @@
 
     def _find_assignment(
         self,
-        pending: _PendingStep,
+        pending: PendingStep,
         workers: list[WorkerCapacity],
-        state: _RoundState,
+        state: RoundState,
         *,
         in_one_rack: bool,
     ) -> placement.Assignment | None:
         """Return workers with free capacity for all tasks of a gang."""
         step = pending.step
-        with _Backfill(state, self._expected_end_ms(step, state)):
+        with Backfill(state, self._expected_end_ms(step, state)):
             return placement.place_gang(
                 step, len(pending.tasks), workers, in_one_rack=in_one_rack
             )
 
     def _place_tasks(
         self,
-        pending: _PendingStep,
+        pending: PendingStep,
         eligible: list[WorkerCapacity],
-        state: _RoundState,
+        state: RoundState,
     ) -> None:
         step = pending.step
         count_by_worker = placement.task_count_by_worker(
@@ -368,7 +280,7 @@
         end_ms = self._expected_end_ms(step, state)
         unplaced = len(pending.tasks)
         for task in pending.tasks:
-            with _Backfill(state, end_ms):
+            with Backfill(state, end_ms):
                 worker = placement.place_task(step, preferred, count_by_worker)
             if worker is None:
                 break
@@ -382,9 +294,9 @@
 
     def _preferred_workers(
         self,
-        pending: _PendingStep,
+        pending: PendingStep,
         eligible: list[WorkerCapacity],
-        state: _RoundState,
+        state: RoundState,
     ) -> list[WorkerCapacity]:
         """Return the workers in the step's rack while waiting pays off.
 
@@ -401,7 +313,7 @@
         return eligible
 
     def _max_rack_wait_ms(
-        self, pending: _PendingStep, state: _RoundState
+        self, pending: PendingStep, state: RoundState
     ) -> int:
         """Return how long waiting for capacity in one rack pays off.
 
@@ -420,9 +332,9 @@
 
     def _requires_one_rack(
         self,
-        pending: _PendingStep,
+        pending: PendingStep,
         workers: list[WorkerCapacity],
-        state: _RoundState,
+        state: RoundState,
     ) -> bool:
         """Whether a gang still waits for capacity in a single rack.
 
@@ -445,14 +357,14 @@
             and in_one_rack.start_ms - state.now_ms < extra_ms
         )
 
-    def _expected_end_ms(self, step: jobs.Step, state: _RoundState) -> int:
+    def _expected_end_ms(self, step: jobs.Step, state: RoundState) -> int:
         """Return when a task that starts now is expected to end."""
         return state.now_ms + self._estimator.task_duration_ms(step)
 
     def _start(
         self,
-        state: _RoundState,
-        pending: _PendingStep,
+        state: RoundState,
+        pending: PendingStep,
         task: jobs.Task,
         worker: WorkerCapacity,
     ) -> None:
@@ -466,9 +378,9 @@
 
     def _preempt_or_reserve(
         self,
-        pending: _PendingStep,
+        pending: PendingStep,
         workers: list[WorkerCapacity],
-        state: _RoundState,
+        state: RoundState,
         *,
         in_one_rack: bool,
     ) -> None:
@@ -485,9 +397,9 @@
 
     def _preempt(
         self,
-        pending: _PendingStep,
+        pending: PendingStep,
         workers: list[WorkerCapacity],
-        state: _RoundState,
+        state: RoundState,
         in_one_rack: bool,
     ) -> bool:
         """Preempt runs for a step of the highest priority, if it pays off.
@@ -546,7 +458,7 @@
         return True
 
     def _ids_above_urgent_work(
-        self, pending: _PendingStep, state: _RoundState
+        self, pending: PendingStep, state: RoundState
     ) -> set[str]:
         """Return the ids of jobs that may preempt other urgent jobs now."""
         if pending.waited_ms < self._options.urgent_preemption_delay_ms:
@@ -554,14 +466,14 @@
         return state.guaranteed_ids
 
     @staticmethod
-    def _is_starting(task: jobs.Task, state: _RoundState) -> bool:
+    def _is_starting(task: jobs.Task, state: RoundState) -> bool:
         return any(start.task is task for start in state.plan.starts)
 
     def _starts_soon(
         self,
-        pending: _PendingStep,
+        pending: PendingStep,
         without_preemption: Reservation | None,
-        state: _RoundState,
+        state: RoundState,
     ) -> bool:
         """Whether guaranteed work can start soon without preemption.
 
@@ -579,7 +491,7 @@
         self,
         job: jobs.Job,
         without_preemption: Reservation | None,
-        state: _RoundState,
+        state: RoundState,
     ) -> float:
         """Return the highest preemption cost that pays off for a job.
 
@@ -604,9 +516,9 @@
 
     def _reserve(
         self,
-        pending: _PendingStep,
+        pending: PendingStep,
         workers: list[WorkerCapacity],
-        state: _RoundState,
+        state: RoundState,
         in_one_rack: bool,
     ) -> bool:
         """Reserve capacity so that small tasks do not starve a large step.
@@ -634,10 +546,10 @@
 
     def _find_reservation(
         self,
-        pending: _PendingStep,
+        pending: PendingStep,
         count: int,
         workers: list[WorkerCapacity],
-        state: _RoundState,
+        state: RoundState,
         *,
         in_one_rack: bool,
     ) -> Reservation | None:
@@ -660,7 +572,7 @@
         self,
         step: jobs.Step,
         tasks_by_worker: dict[str, int],
-        state: _RoundState,
+        state: RoundState,
     ) -> None:
         """Withhold capacity from the other steps of this round."""
         self._reservation_finder.forget_slots()
@@ -668,36 +580,6 @@
             worker.commit(step, tasks_by_worker.get(worker.worker, 0))
 
 
-class _Backfill:
-    """Makes reserved capacity usable for tasks that end early enough.
-
-    Within the context, reservations that start no earlier than a task's
-    end are released, since the task does not delay them.
-
-    :param end_ms: expected end of the task.
-    """
-
-    def __init__(self, state: _RoundState, end_ms: int) -> None:
-        self._state = state
-        self._released = [
-            reservation
-            for reservation in state.reservations
-            if end_ms <= reservation.start_ms
-        ]
-
-    def __enter__(self) -> None:
-        self._commit(-1)
-
-    def __exit__(self, *_: object) -> None:
-        self._commit(1)
-
-    def _commit(self, sign: int) -> None:
-        for reservation in self._released:
-            for worker in self._state.workers:
-                tasks = reservation.tasks_by_worker.get(worker.worker, 0)
-                worker.commit(reservation.step, sign * tasks)
-
-
 def service_of(job: jobs.Job, catalogue: catalogues.Catalogue) -> str:
     """Return the service whose workers run a job.
 
