--- a/packages/mulberryloom-entry/tests/test_job_intake.py
+++ b/packages/mulberryloom-entry/tests/test_job_intake.py
@@ -312,13 +312,18 @@
 
 
 def test_write_relayed_with_unknown_outcome_is_not_called_not_run():
-    """The direct call that follows it is refused."""
+    """Calls are relayed first; the direct call that follows is refused."""
     relay_store = FaultyStore()
     relay_store.lost_answers = 100
     direct_store = FaultyStore()
     direct_store.refused_calls = 100
     job_intake, _, _ = _make_intake(direct_store, relay_store)
-    result = asyncio.run(job_intake.submit(JOB_ID, SPEC, TERMS, 300))
+
+    async def submit_two_jobs():
+        await job_intake.submit('b' * 16, SPEC, TERMS, 50)
+        return await job_intake.submit(JOB_ID, SPEC, TERMS, 50)
+
+    result = asyncio.run(submit_two_jobs())
     assert result.unwrap_err().ran is exceptions.Ran.UNKNOWN
 
 
