Write the checkpoints of running tasks to the store

Cause: a checkpoint that a worker lists stood in the leader's memory only, until some other change of the job was written.

Change: a new checkpoint is written within 3 s, with all others of its job in one write; any other write of the job takes it along.

Three tests fail without it: the checkpoint is in the record, a long run is written once an interval, the same checkpoint is not written twice.

--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -400,8 +400,9 @@
             if item.progress > run.progress:
                 run.progress = item.progress
                 run.last_progress_ms = now_ms
-            if item.checkpoint:
+            if item.checkpoint and item.checkpoint != run.task.checkpoint:
                 self._set_checkpoint(run, item.checkpoint)
+                self._records.mark_checkpointed(run.job.job_id, now_ms)
         link.sent_stops &= set(link.capacity.run_by_key) | link.unknown_runs
 
     def _set_checkpoint(self, run: ActiveRun, checkpoint: str) -> None:
@@ -614,6 +615,7 @@
                 self._runs.discard_orphans(
                     key, 'worker did not report to this leader'
                 )
+        self._records.mark_due_checkpoints(now_ms)
         for job_id in list(self._known_job_ids):
             self._forget_if_expired(job_id, wall_ms)
 
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/record_cache.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/record_cache.py
@@ -21,6 +21,8 @@
 #: Jobs in one transaction: the store allows 32 conditions, writes and
 #: deletions in total. The leader's key takes one, each job takes two.
 MAX_BATCH_JOBS = 15
+#: Longest time for which a new checkpoint is kept in memory only.
+CHECKPOINT_WRITE_DELAY_MS = 3_000
 
 _log = structlog.get_logger(__name__)
 
@@ -110,6 +112,7 @@
         self._generation = generation
         self._cached_by_id: dict[str, _CachedJob] = {}
         self._dirty_ids: dict[str, None] = {}
+        self._checkpoint_due_ms_by_id: dict[str, int] = {}
 
     def all_jobs(self) -> t.Iterator[jobs.Job]:
         """Return an iterator over all jobs."""
@@ -182,6 +185,28 @@
         if not cached.is_in_flight:
             self._dirty_ids[job_id] = None
 
+    def mark_checkpointed(self, job_id: str, now_ms: int) -> None:
+        """Schedule the write of a new checkpoint of one of a job's tasks.
+
+        The write waits, so that the checkpoints of all tasks and earlier
+        changes of the job share it.
+        """
+        self._checkpoint_due_ms_by_id.setdefault(
+            job_id, now_ms + CHECKPOINT_WRITE_DELAY_MS
+        )
+
+    def mark_due_checkpoints(self, now_ms: int) -> None:
+        """Mark the jobs as changed whose checkpoints are due."""
+        due_ids = [
+            job_id
+            for job_id, due_ms in self._checkpoint_due_ms_by_id.items()
+            if due_ms <= now_ms
+        ]
+        for job_id in due_ids:
+            del self._checkpoint_due_ms_by_id[job_id]
+            if job_id in self._cached_by_id:
+                self.mark_dirty(job_id)
+
     def delete(self, job_id: str) -> None:
         """Delete a job's record in the next batch."""
         self._cached_by_id[job_id].is_deleted = True
@@ -208,6 +233,7 @@
             cached.is_in_flight = True
             cached.is_dirty = False
             del self._dirty_ids[job_id]
+            self._checkpoint_due_ms_by_id.pop(job_id, None)
         values_by_key = {
             keys.job_key(job_id): value
             for job_id, value in value_by_job_id.items()
--- a/packages/mulberryloom-entry/tests/test_job_leader.py
+++ b/packages/mulberryloom-entry/tests/test_job_leader.py
@@ -7,6 +7,7 @@
 from mulberryloom_core.version import catalogue as catalogues
 from mulberryloom_entry.jobs import keys
 from mulberryloom_entry.jobs import leader as leaders
+from mulberryloom_entry.jobs import record_cache
 
 JOB_ID = 'a' * 16
 TASK = f'{JOB_ID}.0.0.0'
@@ -25,6 +26,8 @@
     def __init__(self):
         self.now_ms = 10_000
         self.revision = 100
+        self.write_count = 0
+        self.stored_job = None
         options = leaders.LeaderOptions()
         self.leader = leaders.Leader(GENERATION, options, 0)
         self.leader.catalogue = CATALOGUE
@@ -49,14 +52,18 @@
             self.now_ms,
             found['is_listed'],
             found['is_alive'],
-            [messages.RunningTask(TASK, run, '', 0) for run in running],
+            [
+                messages.RunningTask(TASK, run, found.get('checkpoint', ''), 0)
+                for run in running
+            ],
             list(found.get('ended', ())),
             [],
         )
         self.leader.on_report(node, report, self.now_ms, self.now_ms)
 
-    def submit(self, *, is_cancelled=False):
-        spec = jobs.JobSpec('x', (jobs.Step(1, 1_000),))
+    def submit(self, *, is_cancelled=False, is_checkpointed=False):
+        step = jobs.Step(1, 1_000, is_checkpointed=is_checkpointed)
+        spec = jobs.JobSpec('x', (step,))
         job = jobs.Job.from_spec(JOB_ID, spec, jobs.JobTerms('q', 's', 'a'), 0)
         job.is_cancelled = is_cancelled
         self.revision += 1
@@ -70,10 +77,14 @@
         self.now_ms += 50
         leader = self.leader
         leader.confirmed_ms = self.now_ms
+        leader.tick(self.now_ms, self.now_ms)
         leader.plan(self.now_ms, self.now_ms)
         batch = leader.next_batch()
         if batch is not None:
             self.revision += 1
+            self.write_count += 1
+            for value in batch.value_by_job_id.values():
+                self.stored_job = job_records.decode(value).unwrap()
             reply = store.Written(self.revision)
             leader.complete_batch(batch, reply, self.now_ms, self.now_ms)
         self.orders = [o for _, o in leader.take_orders(self.now_ms)]
@@ -285,6 +296,53 @@
     assert _job_state(harness) is jobs.JobState.COMPLETED
 
 
+def _harness_with_checkpointed_run():
+    harness = LeaderHarness()
+    harness.report()
+    harness.advance()
+    harness.submit(is_checkpointed=True)
+    harness.advance()
+    assert harness.started_runs() == [1]
+    return harness
+
+
+def test_checkpoints_survive_the_loss_of_the_leader_and_the_worker():
+    """A power failure of a region ends the leader and all workers."""
+    harness = _harness_with_checkpointed_run()
+    sequence = harness.orders[0].sequence
+    began_ms = harness.now_ms
+    while harness.now_ms - began_ms <= record_cache.CHECKPOINT_WRITE_DELAY_MS:
+        harness.report(running=[1], sequence=sequence, checkpoint='after-1-s')
+        harness.advance()
+    (task,) = harness.stored_job.active_tasks()
+    assert task.checkpoint == 'after-1-s'
+
+
+def test_checkpoints_of_a_long_run_are_written_at_intervals():
+    harness = _harness_with_checkpointed_run()
+    sequence = harness.orders[0].sequence
+    written_before = harness.write_count
+    began_ms = harness.now_ms
+    intervals = 4
+    spent_ms = intervals * record_cache.CHECKPOINT_WRITE_DELAY_MS
+    while harness.now_ms - began_ms < spent_ms:
+        harness.report(
+            running=[1], sequence=sequence, checkpoint=str(harness.now_ms)
+        )
+        harness.advance()
+    assert 0 < harness.write_count - written_before <= intervals
+
+
+def test_a_checkpoint_that_is_listed_again_is_not_written_again():
+    harness = _harness_with_checkpointed_run()
+    sequence = harness.orders[0].sequence
+    written_before = harness.write_count
+    for _ in range(200):
+        harness.report(running=[1], sequence=sequence, checkpoint='after-1-s')
+        harness.advance()
+    assert harness.write_count - written_before == 1
+
+
 def test_write_conflict_deposes_superseded_leader():
     harness = LeaderHarness()
     harness.report()
