Take the stored state of a job from its encoding, not from a decode

Cause: when a write had been confirmed, the leader decoded each record of the batch again, only to learn the state that callers may see now. For a job of 39 tasks the decode takes 186 us, its encode 33 us (126 tasks: 646 and 64), so most of the cost of a write.

Change: a batch carries the states of the records that it writes.

The test holds the rule that the decode served: callers see the state of the record, not that of a later change. It passes before, too: it guards.

--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/record_cache.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/record_cache.py
@@ -53,10 +53,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Batch:
-    """One transaction and the job records that it writes."""
+    """One transaction and the job records that it writes.
+
+    :param state_by_job_id: states of the jobs in their written records.
+    """
 
     request: store.Transact
     value_by_job_id: dict[str, bytes]
+    state_by_job_id: dict[str, jobs.JobState]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -219,6 +223,7 @@
             return None
         expected_by_key = {keys.LEADER: self._generation}
         value_by_job_id: dict[str, bytes] = {}
+        state_by_job_id: dict[str, jobs.JobState] = {}
         deleted_keys = []
         for job_id in job_ids:
             cached = self._cached_by_id[job_id]
@@ -228,6 +233,7 @@
                 deleted_keys.append(key)
             else:
                 value_by_job_id[job_id] = job_records.encode(cached.job)
+                state_by_job_id[job_id] = cached.job.state
             cached.in_flight_events = cached.pending_events
             cached.pending_events = []
             cached.is_in_flight = True
@@ -241,7 +247,7 @@
         request = store.Transact(
             expected_by_key, values_by_key, tuple(deleted_keys)
         )
-        return Batch(request, value_by_job_id)
+        return Batch(request, value_by_job_id, state_by_job_id)
 
     def complete_batch(
         self, batch: Batch, reply: store.Written | store.Conflict
@@ -311,7 +317,6 @@
         cached.is_in_flight = False
         outcome.recorded_events.extend(cached.in_flight_events)
         cached.in_flight_events = []
-        stored = job_records.decode(batch.value_by_job_id[job_id]).unwrap()
-        cached.stored_state = stored.state
+        cached.stored_state = batch.state_by_job_id[job_id]
         if cached.is_dirty:
             self._dirty_ids[job_id] = None
--- a/packages/mulberryloom-entry/tests/test_job_leader.py
+++ b/packages/mulberryloom-entry/tests/test_job_leader.py
@@ -343,6 +343,21 @@
     assert harness.write_count - written_before == 1
 
 
+def test_callers_see_the_state_that_is_stored_not_a_later_one():
+    harness = _harness_with_running_job()
+    sequence = harness.orders[0].sequence
+    harness.report(running=[1], sequence=sequence)
+    harness.leader._records.mark_dirty(JOB_ID)
+    batch = harness.leader.next_batch()
+    done = messages.EndedTask(1, TASK, 1, 'done', '')
+    harness.report(sequence=sequence, ended=[done])
+    reply = store.Written(harness.revision + 1)
+    harness.leader.complete_batch(batch, reply, harness.now_ms, harness.now_ms)
+    assert _job_state(harness) is jobs.JobState.RUNNING
+    harness.advance()
+    assert _job_state(harness) is jobs.JobState.COMPLETED
+
+
 def test_write_conflict_deposes_superseded_leader():
     harness = LeaderHarness()
     harness.report()
