Start no less urgent work before silent workers have reported

The new leader planned 0.7 s after its election, when 97 of 160 workers had reported; the runs of urgent jobs on the others were not yet known to be lost. Batch work took the free capacity (297 of 374 starts in that round); 0.2 s later the urgent gangs found the fleet full, waited for stops and started across racks, where a gang in one rack takes three times as long: a job of 2.0 s ended 7.3 s after its new start, nine of nine were late.

Change: while runs of an earlier leader are unconfirmed, nothing starts that is less urgent than the most urgent of them, up to 2.5 s into the term; urgent work starts as before.

Ruled out: a longer wait for all work, which would delay urgent jobs.

--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -56,6 +56,9 @@
         first plan waits as long while workers keep reporting.
     :param startup_quiet_ms: time without a newly adopted worker after which
         the first plan need not wait for more of them.
+    :param startup_fill_wait_ms: age of a term below which no job starts
+        tasks that is less urgent than an unconfirmed run of an earlier
+        leader.
     :param replan_interval_ms: longest interval between plans when no job
         or worker has changed, since some decisions depend on time alone.
     :param waiting_replan_interval_ms: the same while a step waits for
@@ -75,6 +78,7 @@
     heartbeat_interval_ms: int = 700
     startup_wait_ms: int = 700
     startup_quiet_ms: int = 150
+    startup_fill_wait_ms: int = 2_500
     replan_interval_ms: int = 500
     waiting_replan_interval_ms: int = 100
     order_ttl_ms: int = 15_000
@@ -671,6 +675,7 @@
             wall_ms,
             # Workers that have not reported yet may have free resources.
             may_preempt=not is_starting_up,
+            max_priority=self._max_priority(now_ms),
         )
         for stop in plan.stops:
             self._runs.stop(stop.run, stop.reason)
@@ -690,6 +695,27 @@
             and now_ms - self._last_synced_ms >= self._options.startup_quiet_ms
         )
 
+    def _max_priority(self, now_ms: int) -> int | None:
+        """Return the highest priority number that may start tasks.
+
+        A worker that has not reported yet may have lost its runs, as after
+        a power failure. Less urgent work would take the capacity on which
+        they have to start again.
+        """
+        if (
+            now_ms - self._term_started_ms
+            >= self._options.startup_fill_wait_ms
+        ):
+            return None
+        return min(
+            (
+                run.job.terms.priority
+                for run in self._runs.run_by_key.values()
+                if run.is_inherited and not run.is_confirmed
+            ),
+            default=None,
+        )
+
     def _record_blocked_steps(self, blocked: list[planner.Blocked]) -> None:
         """Record why steps wait, whenever the reason changes."""
         reason_by_step = {
--- a/packages/mulberryloom-entry/tests/test_job_leader.py
+++ b/packages/mulberryloom-entry/tests/test_job_leader.py
@@ -148,9 +148,9 @@
     may_preempt_by_age_ms = {}
     plan = harness.leader._planner.plan
 
-    def record_may_preempt(*given, may_preempt):
+    def record_may_preempt(*given, may_preempt, **options):
         may_preempt_by_age_ms[harness.now_ms - began_ms] = may_preempt
-        return plan(*given, may_preempt=may_preempt)
+        return plan(*given, may_preempt=may_preempt, **options)
 
     harness.leader._planner.plan = record_may_preempt
     while harness.now_ms - began_ms < options.startup_wait_ms + 100:
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
@@ -61,6 +61,7 @@
         wall_ms: int,
         *,
         may_preempt: bool = True,
+        max_priority: int | None = None,
     ) -> Plan:
         """Run one planning round.
 
@@ -72,6 +73,8 @@
         :param wall_ms: Unix time.
         :param may_preempt: whether runs may be preempted for other jobs. Runs
             on draining workers and stalled runs are stopped in any case.
+        :param max_priority: highest priority number of the jobs that may
+            start tasks; ``None`` if all may.
         """
         ordered_jobs = list(open_jobs)
         self._estimator.begin_round(ordered_jobs, workers)
@@ -97,6 +100,7 @@
             wall_ms,
             guaranteed_ids,
             may_preempt,
+            max_priority,
             other_capacity,
         )
         for run, reason in self._evacuation.runs_to_stop(workers, now_ms):
@@ -190,6 +194,15 @@
     # Placement
 
     def _place(self, pending: PendingStep, state: RoundState) -> None:
+        if not state.may_start(pending.job):
+            state.plan.blocked.append(
+                Blocked(
+                    pending.job,
+                    pending.step_index,
+                    'capacity is kept for runs whose workers are silent',
+                )
+            )
+            return
         eligible = self._eligible_workers(pending, state)
         step, count = pending.step, len(pending.tasks)
         if _blocks_urgent_jobs(pending.job, step):
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/round_state.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/round_state.py
@@ -41,6 +41,8 @@
     :param wall_ms: Unix time.
     :param guaranteed_ids: ids of the guaranteed jobs.
     :param may_preempt: whether runs may be preempted.
+    :param max_priority: highest priority number of the jobs that may start
+        tasks; ``None`` if all may.
     :param other_capacity: capacity left for jobs that are not urgent.
     :param eligible_by_demand: workers that may receive tasks, by service and
         demand.
@@ -52,6 +54,7 @@
     wall_ms: int
     guaranteed_ids: set[str]
     may_preempt: bool
+    max_priority: int | None
     other_capacity: OtherCapacity
     plan: Plan = dataclasses.field(default_factory=Plan)
     reservations: list[Reservation] = dataclasses.field(default_factory=list)
@@ -59,6 +62,13 @@
         dataclasses.field(default_factory=dict)
     )
 
+    def may_start(self, job: jobs.Job) -> bool:
+        """Whether tasks of a job may start in this round."""
+        return (
+            self.max_priority is None
+            or job.terms.priority <= self.max_priority
+        )
+
 
 class Backfill:
     """Makes reserved capacity usable for tasks that end early enough.
