Keep tasks off workers that fail what they start

A worker with three failures at 12.2 s got new work at 14.1 s, since a run that had started before the trouble ended well and ended the backoff; all of it failed. The tasks were then started on another such worker.

Change: only a run that started after the last failure ends a worker's backoff; a step with a failed task avoids workers whose last run failed, as long as the others could run it when empty. The count of successes, which nothing read, is gone.

Two tests fail without the two halves. test_health_backoff hands over a run now, started after the failures, and checks the same.

--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -458,7 +458,7 @@
         if end.checkpoint:
             self._set_checkpoint(run, end.checkpoint)
         if run_end is jobs.RunEnd.DONE:
-            health.note_success(link.capacity)
+            health.note_success(link.capacity, run)
             self._on_run_done(run)
         elif run_end is jobs.RunEnd.FAILED:
             health.note_failure(link.capacity, now_ms, self._options.plan)
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/capacity.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/capacity.py
@@ -129,8 +129,9 @@
     :param free_memory: free memory in MB.
     :param backoff_until_ms: end of the time without new tasks after
         failures.
-    :param successes: successful runs since the last failure.
-    :param failures: failed runs since the last success.
+    :param failed_ms: monotonic time of the last failure.
+    :param failures: failed runs since the last success of a run that
+        started after them.
     :param committed_cpu: CPU capacity committed in this planning round, to
         tasks that start and to reservations, in thousandths of a core;
         ``committed_memory`` (MB) and ``committed_accelerators`` likewise.
@@ -155,7 +156,7 @@
     free_memory: int = 0
     free_accelerators: int = 0
     backoff_until_ms: int = 0
-    successes: int = 0
+    failed_ms: int = 0
     failures: int = 0
     committed_cpu: int = 0
     committed_memory: int = 0
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/health.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/health.py
@@ -1,13 +1,20 @@
 """Detection of failing workers and stalled runs."""
 
+from mulberryloom_core.request import jobs
+
 from .capacity import ActiveRun
 from .capacity import WorkerCapacity
 from .options import PlanOptions
 
 
-def note_success(worker: WorkerCapacity) -> None:
-    """Record a successful run and end the failure backoff of its worker."""
-    worker.successes += 1
+def note_success(worker: WorkerCapacity, run: ActiveRun) -> None:
+    """Record a successful run and end the failure backoff of its worker.
+
+    A run that started before the last failure says nothing of what starts
+    now: a worker may fail new tasks while its older runs end well.
+    """
+    if run.started_ms < worker.failed_ms:
+        return
     worker.failures = 0
     worker.backoff_until_ms = 0
 
@@ -20,7 +27,7 @@
     The backoff doubles with each consecutive failure, so that a worker on
     which every task fails uses up few of the attempts of jobs.
     """
-    worker.successes = 0
+    worker.failed_ms = now_ms
     worker.failures += 1
     backoff_ms = options.failure_backoff_ms << (worker.failures - 1)
     worker.backoff_until_ms = now_ms + min(
@@ -28,6 +35,23 @@
     )
 
 
+def without_suspects(
+    step: jobs.Step, count: int, workers: list[WorkerCapacity]
+) -> list[WorkerCapacity]:
+    """Return the workers whose last run did not fail, if they are enough.
+
+    A task that has failed goes there, since one more failure may fail its
+    job.
+
+    :param count: number of tasks that start together.
+    :return: all workers, if the others could not run the tasks even when
+        empty.
+    """
+    reliable = [worker for worker in workers if not worker.failures]
+    fitting = sum(worker.fitting_count_when_empty(step) for worker in reliable)
+    return reliable if fitting >= count else workers
+
+
 def is_stalled(run: ActiveRun, options: PlanOptions) -> bool:
     """Whether a run has made no progress within its stall timeout.
 
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
@@ -10,6 +10,7 @@
 from mulberryloom_core.request import jobs
 from mulberryloom_core.version import catalogue as catalogues
 
+from . import health
 from . import placement
 from . import valuation
 from .capacity import TaskDemand
@@ -205,6 +206,10 @@
             return
         eligible = self._eligible_workers(pending, state)
         step, count = pending.step, len(pending.tasks)
+        if any(task.failures for task in pending.tasks):
+            eligible = health.without_suspects(
+                step, count if step.is_gang else 1, eligible
+            )
         if _blocks_urgent_jobs(pending.job, step):
             allowed = state.other_capacity.fitting_count(step, count)
             if allowed < count and (step.is_gang or not allowed):
--- a/packages/mulberryloom-policy/tests/test_job_planner.py
+++ b/packages/mulberryloom-policy/tests/test_job_planner.py
@@ -344,10 +344,56 @@
     first_backoff_until_ms = region.workers[0].backoff_until_ms
     policy.health.note_failure(region.workers[0], NOW_MS, options)
     assert region.workers[0].backoff_until_ms > first_backoff_until_ms
-    policy.health.note_success(region.workers[0])
+    (job,) = region.jobs
+    run = region.start_run(
+        job, next(iter(job.task_by_key.values())), region.workers[0]
+    )
+    policy.health.note_success(region.workers[0], run)
     assert region.workers[0].backoff_until_ms == 0
 
 
+def test_older_run_that_ends_well_does_not_end_the_backoff():
+    """A worker fails what it starts; its older runs end well meanwhile."""
+    region = Region([_worker(1)])
+    region.submit(_step(1, 1))
+    region.run_round()
+    (older_run,) = region.runs(region.jobs[0])
+    region.now_ms += 1_000
+    options = policy.PlanOptions()
+    (worker,) = region.workers
+    policy.health.note_failure(worker, region.now_ms, options)
+    region.end_run(older_run, is_done=True)
+    policy.health.note_success(worker, older_run)
+    region.submit(_step(1, 1))
+    assert region.run_round(100).starts == []
+
+
+def test_failed_task_avoids_workers_whose_last_run_failed():
+    """One more failure would fail the job; the other worker is fuller."""
+    region = Region([_worker(1), _worker(2), _worker(3)])
+    options = policy.PlanOptions()
+    for worker in region.workers[:2]:
+        policy.health.note_failure(worker, NOW_MS, options)
+    job = region.submit(_step(2, 1))
+    for task in job.task_by_key.values():
+        task.failures = 1
+    after_ms = options.failure_backoff_ms + 100
+    region.submit(_step(1, 7))
+    starts = region.run_round(after_ms).starts
+    assert {s.worker.worker for s in starts if s.job is job} == {'w3'}
+
+
+def test_failed_gang_uses_suspect_workers_if_no_others_are_enough():
+    region = Region([_worker(1), _worker(2)])
+    options = policy.PlanOptions()
+    policy.health.note_failure(region.workers[0], NOW_MS, options)
+    job = region.submit(_step(2, 8, is_gang=True))
+    for task in job.task_by_key.values():
+        task.failures = 1
+    starts = region.run_round(options.failure_backoff_ms + 100).starts
+    assert len(starts) == 2
+
+
 def test_evacuation_moves_stalled_run_to_another_worker():
     region = Region([_worker(1), _worker(2)])
     job = region.submit(_step(1, 1))
