Predict the end of a run from its own speed and the age of its progress

The listed progress was half a second old, but the elapsed time was counted to now. A run that had resumed from a checkpoint, or that a new leader had inherited, was on the other hand expected to end almost at once: all its progress was put on the time since this start.

Change: the speed is taken from what was done under this leader since the run was first listed, up to the last progress; the time since then counts as work done, unless the run should have shown more by now.

Three tests fail before; the one on stalled runs guards.

--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -389,11 +389,10 @@
                 link.has_pending_orders = True
                 continue
             if not run.is_confirmed:
-                run.is_confirmed = True
+                run.confirm(item.progress, now_ms)
                 self._metrics.observe_ms(
                     'start_duration_ms', now_ms - run.started_ms
                 )
-                run.last_progress_ms = now_ms
                 run.sent_sequence = run.sent_sequence or link.sequence or 1
                 self._runs.record_decision(
                     'run confirmed',
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/capacity.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/capacity.py
@@ -61,6 +61,8 @@
     :param last_progress_ms: time of the last increase of the progress; before
         the first one, of the start or its confirmation.
     :param last_listed_ms: when the worker last listed it as running.
+    :param base_progress: progress at ``base_ms``; more than 0 if the run
+        resumed from a checkpoint or was inherited.
     """
 
     job: jobs.Job
@@ -78,7 +80,10 @@
     progress: int = 0
     last_progress_ms: int = 0
     last_listed_ms: int = 0
+    base_progress: int = 0
 
+    #: Time from which on the speed of the run is known.
+    base_ms: int = dataclasses.field(init=False)
     #: Name of the task on workers.
     name: str = dataclasses.field(init=False)
     #: Identity of the run, unique over all workers.
@@ -87,6 +92,18 @@
     def __post_init__(self) -> None:
         self.name = jobs.task_name(self.job.job_id, self.task.key)
         self.key = self.name, self.run.number
+        self.base_ms = self.started_ms
+
+    def confirm(self, progress: int, now_ms: int) -> None:
+        """Record that the worker lists the run, for the first time.
+
+        :param progress: percentage that it lists.
+        """
+        self.is_confirmed = True
+        self.last_progress_ms = now_ms
+        if self.is_inherited or self.task.checkpoint:
+            self.base_progress = progress
+            self.base_ms = now_ms
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/valuation.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/valuation.py
@@ -37,6 +37,8 @@
 #: Slack that discounts the urgency of a job by a factor of e; about the
 #: duration of an urgent job.
 _URGENCY_SCALE_MS = 5_000
+#: Longest time between two lists of a worker that show progress.
+_PROGRESS_VALID_MS = 2_500
 _MS_PER_S = 1_000
 _MILLIS_PER_CORE = 1_000
 
@@ -154,17 +156,20 @@
     def run_remaining_ms(self, run: ActiveRun, now_ms: int) -> int:
         """Return the expected time until a run ends.
 
-        It is extrapolated from the progress from ``min_reliable_progress``
-        on, and computed from the declared duration before; in the latter
-        case, at least a quarter of that duration is expected to remain. A
-        stopping run ends within its grace period.
+        Once ``min_reliable_progress`` percent were done under this leader,
+        it is extrapolated from them; before, it is computed from the
+        declared duration, of which a quarter is expected to remain at
+        least. A stopping run ends within its grace period.
         """
         if run.is_stopping:
             return self._options.stop_grace_ms
-        elapsed_ms = max(0, now_ms - run.started_ms)
-        if run.progress >= self._options.min_reliable_progress:
-            return elapsed_ms * (100 - run.progress) // run.progress
-        expected_ms = self.task_duration_ms(run.step)
+        done = run.progress - run.base_progress
+        if done >= self._options.min_reliable_progress:
+            return _extrapolated_ms(run, done, now_ms)
+        expected_ms = (
+            self.task_duration_ms(run.step) * (100 - run.base_progress) // 100
+        )
+        elapsed_ms = max(0, now_ms - run.base_ms)
         return max(expected_ms - elapsed_ms, expected_ms // 4)
 
     def critical_path_ms(self, job: jobs.Job) -> int:
@@ -291,6 +296,22 @@
     return cpu_cores + step.accelerators * options.cores_per_accelerator
 
 
+def _extrapolated_ms(run: ActiveRun, done: int, now_ms: int) -> int:
+    """Return the expected time until a run ends at its speed so far.
+
+    The last progress is some time old; the run has gone on since, unless
+    it should have shown more by now.
+
+    :param done: percentage that was done since ``run.base_ms``.
+    """
+    left = 100 - run.progress
+    age_ms = now_ms - run.last_progress_ms
+    elapsed_ms = max(0, run.last_progress_ms - run.base_ms)
+    if age_ms > _PROGRESS_VALID_MS + elapsed_ms // done:
+        return max(0, now_ms - run.base_ms) * left // done
+    return max(0, elapsed_ms * left // done - age_ms)
+
+
 def lost_core_seconds(
     run: ActiveRun, now_ms: int, options: PlanOptions
 ) -> float:
--- a/packages/mulberryloom-policy/tests/test_job_planner.py
+++ b/packages/mulberryloom-policy/tests/test_job_planner.py
@@ -629,3 +629,55 @@
     assert fleet.fit_of(_step(30, 4)) is fit
     fleet.update(workers[:-1])
     assert fleet.fit_of(_step(3, 4)).slots == 798
+
+
+def _region_with_draining_run(notice_ms, **fields):
+    """Return a region whose only run, 10 s long, is on a draining worker."""
+    region = Region([_worker(1)])
+    region.submit(_step(1, 1, **fields))
+    region.run_round()
+    (run,) = region.runs(region.jobs[0])
+    region.now_ms += 5_000
+    (worker,) = region.workers
+    worker.is_accepting = False
+    worker.is_draining = True
+    worker.drain_deadline_ms = region.now_ms + notice_ms
+    return region, run
+
+
+def test_run_that_ends_within_the_notice_goes_on_despite_old_progress():
+    """Its worker listed 40 percent a second ago, half of it is done now."""
+    region, run = _region_with_draining_run(5_600)
+    run.progress = 40
+    run.last_progress_ms = region.now_ms - 1_000
+    assert region.run_round().stops == []
+
+
+def test_run_that_stalls_is_not_expected_to_end_soon():
+    region, run = _region_with_draining_run(5_600)
+    run.progress = 20
+    run.last_progress_ms = region.now_ms - 4_000
+    assert [stop.run for stop in region.run_round().stops] == [run]
+
+
+def test_resumed_run_is_expected_to_end_at_its_own_speed():
+    """It resumed from 60 percent and has done ten more in 1 s."""
+    region, run = _region_with_draining_run(3_000, is_checkpointed=True)
+    run.started_ms = region.now_ms - 1_050
+    run.task.checkpoint = 'after-6-s'
+    run.confirm(60, region.now_ms - 1_000)
+    run.progress = 70
+    run.last_progress_ms = region.now_ms
+    region.workers[0].drain_deadline_ms = region.now_ms + 1_200
+    assert [stop.run for stop in region.run_round().stops] == [run]
+
+
+def test_inherited_run_is_not_expected_to_end_at_once():
+    """A new leader has seen it for 200 ms, at 50 percent of 10 s."""
+    region, run = _region_with_draining_run(3_000)
+    run.started_ms = region.now_ms - 200
+    run.is_inherited = True
+    run.confirm(50, region.now_ms - 200)
+    run.progress = 52
+    run.last_progress_ms = region.now_ms
+    assert [stop.run for stop in region.run_round().stops] == [run]
