Weigh a preemption by the chance of completing in time, not by its limit

Cause: an urgent job beyond its guarantee preempted only if waiting would have ended it after its target.

Change: what a job is expected to keep falls steadily around its target, over a quarter of the time that is left to it, and is late beyond. Runs are preempted earlier, while cheap ones can still be chosen.

The first test fails without the change, the second guards.

--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
@@ -520,13 +520,13 @@
         """
         options = self._options
         deadlines = self._estimator.deadlines(job)
-        share_with = deadlines.value_share(
+        share_with = deadlines.expected_share(
             state.wall_ms, options.stop_grace_ms
         )
         share_without = 0.0
         if without_preemption is not None:
             wait_ms = max(0, without_preemption.start_ms - state.now_ms)
-            share_without = deadlines.value_share(state.wall_ms, wait_ms)
+            share_without = deadlines.expected_share(state.wall_ms, wait_ms)
         gain = self._estimator.on_time_value(job) * (
             share_with - share_without
         )
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/valuation.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/valuation.py
@@ -37,6 +37,8 @@
 #: Slack that discounts the urgency of a job by a factor of e; about the
 #: duration of an urgent job.
 _URGENCY_SCALE_MS = 5_000
+#: Typical error of expected durations, relative to them.
+_DURATION_ERROR = 0.25
 #: Longest time between two lists of a worker that show progress.
 _PROGRESS_VALID_MS = 2_500
 _MS_PER_S = 1_000
@@ -73,6 +75,21 @@
             return 1.0
         return self.late_share if end_ms <= self.cutoff_ms else 0.0
 
+    def expected_share(self, wall_ms: int, delay_ms: int) -> float:
+        """Return the expected share of its value if the job is delayed.
+
+        Durations and the delay are uncertain: the more of them, the wider
+        the range of ends for which the job may complete in time or late.
+        """
+        duration_ms = delay_ms + self.remaining_ms
+        end_ms = wall_ms + duration_ms
+        if end_ms > self.cutoff_ms:
+            return 0.0
+        range_ms = 2 * _DURATION_ERROR * max(1, duration_ms)
+        on_time = 0.5 + (self.target_ms - end_ms) / range_ms
+        on_time = min(1.0, max(0.0, on_time))
+        return self.late_share + on_time * (1.0 - self.late_share)
+
     def value_share(self, wall_ms: int, delay_ms: int = 0) -> float:
         """Return the share of its value if the job continues after a delay."""
         return self.value_share_at(wall_ms + delay_ms + self.remaining_ms)
--- a/packages/mulberryloom-policy/tests/test_job_planner.py
+++ b/packages/mulberryloom-policy/tests/test_job_planner.py
@@ -681,3 +681,29 @@
     run.progress = 52
     run.last_progress_ms = region.now_ms
     assert [stop.run for stop in region.run_round().stops] == [run]
+
+
+def _preempts_for_urgent_job(remaining_ms):
+    """Whether an urgent job of 10 s preempts a checkpointed run.
+
+    It is in time if it completes within 31 s.
+
+    :param remaining_ms: expected time until the run ends.
+    """
+    region = Region([_worker(1)])
+    region.submit(
+        _step(1, 8, is_checkpointed=True, estimate_ms=remaining_ms),
+        priority=2,
+    )
+    region.run_round()
+    region.submit(_step(1, 8), priority=0, account='unknown')
+    return bool(region.run_round().stops)
+
+
+def test_urgent_job_does_not_rely_on_an_end_just_before_its_latest_start():
+    """Expected ends are inaccurate: it would be late in half of the cases."""
+    assert _preempts_for_urgent_job(20_000)
+
+
+def test_urgent_job_waits_for_an_end_that_leaves_it_enough_time():
+    assert not _preempts_for_urgent_job(8_000)
