Announce the entries' addresses when they change, not in each notice

Every 350 ms each entry sent all addresses to all others, which then parsed them: traffic of one entry grows with the square of the number of entries.

Change: the list is in a notice when an address is new, when a peer connects, and every 10 s for a peer that has missed a change.

--- a/packages/mulberryloom-core/src/mulberryloom_core/messages.py
+++ b/packages/mulberryloom-core/src/mulberryloom_core/messages.py
@@ -619,7 +619,8 @@
     """Membership and leadership, sent periodically by an entry to its peers.
 
     :param leader_generation: highest leader generation known.
-    :param entries: peer addresses of the known entries.
+    :param entries: peer addresses of the known entries; empty when the
+        receiver knows them.
     :param is_leading: whether the sender is the leader.
     :param is_stopping: whether the sender is shutting down.
     """
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/entry.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/entry.py
@@ -34,6 +34,7 @@
 from . import calls
 from . import catalogue_follower
 from . import election
+from . import entry_addresses
 from . import gateway
 from . import intake
 from . import keys
@@ -128,10 +129,9 @@
         )
         self._peer_by_name: dict[str, _Peer] = {}
         self._agent_names: set[str] = set()
-        self._entry_addresses: dict[identity.Address, None] = dict.fromkeys(
-            entry_identity.seeds
+        self._entry_addresses = entry_addresses.EntryAddresses(
+            [*entry_identity.seeds, entry_identity.address]
         )
-        self._entry_addresses[entry_identity.address] = None
         self._leader_record = election.LeaderRecord()
         self._leader_seen_ms = clock.now_ms()
         self._term: terms.Term | None = None
@@ -257,8 +257,7 @@
 
     def _on_address(self, address: identity.Address) -> None:
         """Connect to an entry whose address was not known before."""
-        if address not in self._entry_addresses:
-            self._entry_addresses[address] = None
+        if self._entry_addresses.add(address):
             self._connect(address)
 
     async def _receive(self) -> None:
@@ -286,7 +285,8 @@
             self._agent_names.add(peer.name)
             if self._term is not None:
                 self._term.leader.on_session(peer.name)
-        self._node.send(effects.Send(peer.role, peer.name, self._notice()))
+        notice = self._notice(self._entry_addresses.texts())
+        self._node.send(effects.Send(peer.role, peer.name, notice))
 
     def _on_message(self, sender: str, message: messages.Message) -> None:
         match message:
@@ -383,7 +383,11 @@
     def _relay_peers(self) -> list[str]:
         return self._live_peers()
 
-    def _notice(self) -> messages.EntryNotice:
+    def _notice(self, addresses: list[str]) -> messages.EntryNotice:
+        """Return a notice to peers.
+
+        :param addresses: addresses of entries that they may not know.
+        """
         return messages.EntryNotice(
             str(self._identity.address),
             self._leader_record.name,
@@ -392,7 +396,7 @@
             self._term is not None,
             self._is_stopping,
             self._feed.version,
-            [str(address) for address in self._entry_addresses],
+            addresses,
         )
 
     async def _send_notices(self) -> None:
@@ -401,10 +405,13 @@
             await asyncio.sleep(NOTICE_INTERVAL_MS / _MS_PER_S)
 
     def _broadcast(self, *, with_agents: bool = False) -> None:
-        notice = self._notice()
+        notice = self._notice(
+            self._entry_addresses.take_due_texts(self._clock.now_ms())
+        )
         for name in self._peer_by_name:
             self._send_entry(name, notice)
         if with_agents:
+            notice = self._notice(self._entry_addresses.texts())
             for name in self._agent_names:
                 role = identity.Role.AGENT
                 self._node.send(effects.Send(role, name, notice))
@@ -670,7 +677,7 @@
         )
         is_key_free = await election.resign(self.store, record)
         _log.info('resigned', generation=generation, is_key_free=is_key_free)
-        notice = dataclasses.replace(self._notice(), is_leading=True)
+        notice = dataclasses.replace(self._notice([]), is_leading=True)
         for name in self._peer_by_name:
             self._send_entry(name, notice)
 
