Blame the tasks, not the workers, if most workers have failures

Cause, by reading the change once more: tasks that can never be done fail on every worker. A step with a failed task would then have been left to the few workers without failures.

Change: workers with failures are avoided only while they are the smaller part. The test fails before; that of the avoidance has one more healthy worker now, so that half of them are healthy, and checks the same.

--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/health.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/health.py
@@ -38,18 +38,19 @@
 def without_suspects(
     step: jobs.Step, count: int, workers: list[WorkerCapacity]
 ) -> list[WorkerCapacity]:
-    """Return the workers whose last run did not fail, if they are enough.
+    """Return the workers without failures since their last success.
 
     A task that has failed goes there, since one more failure may fail its
     job.
 
     :param count: number of tasks that start together.
     :return: all workers, if the others could not run the tasks even when
-        empty.
+        empty, or are the smaller part: then the tasks are likely at fault.
     """
     reliable = [worker for worker in workers if not worker.failures]
     fitting = sum(worker.fitting_count_when_empty(step) for worker in reliable)
-    return reliable if fitting >= count else workers
+    is_enough = fitting >= count and 2 * len(reliable) >= len(workers)
+    return reliable if is_enough else workers
 
 
 def is_stalled(run: ActiveRun, options: PlanOptions) -> bool:
