--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -24,7 +24,7 @@
 from mulberryloom_policy.jobs import ActiveRun
 from mulberryloom_policy.jobs import health
 from mulberryloom_policy.jobs import JobPlanner
-from mulberryloom_policy.jobs import planner
+from mulberryloom_policy.jobs import plan as plans
 from mulberryloom_policy.jobs import PlanOptions
 import structlog
 
@@ -32,6 +32,7 @@
 from . import fleet
 from . import record_cache
 from . import run_table
+from . import startup
 
 _log = structlog.get_logger(__name__)
 
@@ -121,7 +122,6 @@
         self._options = options
         self._planner = JobPlanner(options.plan)
         self._term_started_ms = now_ms
-        self._last_synced_ms = now_ms
         self._records = record_cache.JobRecordCache(generation)
         self._decision_log = decisions.DecisionLog()
         self._link_by_key: dict[fleet.WorkerKey, fleet.WorkerLink] = {}
@@ -134,6 +134,7 @@
             options.plan,
             now_ms,
         )
+        self._startup = startup.Startup(options, self._runs, now_ms)
         self._known_job_ids: dict[str, None] = {}
         self._needs_plan = True
         self._last_sequence = 0
@@ -274,7 +275,7 @@
                 running=len(report.running),
                 age_ms=now_ms - self._term_started_ms,
             )
-            self._last_synced_ms = now_ms
+            self._startup.on_worker_synced(now_ms)
             self._needs_plan = True
         self._on_running(link, report, now_ms)
         self._on_ends(link, report, now_ms, wall_ms)
@@ -640,10 +641,10 @@
         """Start and stop runs, if a new plan is due."""
         if self.catalogue is None:
             return
-        is_starting_up = (
-            now_ms - self._term_started_ms < self._options.startup_wait_ms
-        )
-        if is_starting_up and not self._has_every_expected_worker(now_ms):
+        is_starting_up = self._startup.is_in_progress(now_ms)
+        if is_starting_up and not (
+            self._link_by_key and self._startup.have_all_reported(now_ms)
+        ):
             return
         interval_ms = self._options.replan_interval_ms
         if self._blocked_reason_by_step:
@@ -674,7 +675,7 @@
             wall_ms,
             # Workers that have not reported yet may have free resources.
             may_preempt=not is_starting_up,
-            max_priority=self._max_priority(now_ms),
+            max_priority=self._startup.max_priority(now_ms),
         )
         for stop in plan.stops:
             self._runs.stop(stop.run, stop.reason)
@@ -683,39 +684,7 @@
             self._start_run(start, now_ms, wall_ms)
         self._record_blocked_steps(plan.blocked)
 
-    def _has_every_expected_worker(self, now_ms: int) -> bool:
-        """Whether the workers of all recorded runs have reported.
-
-        False until no worker has been adopted for ``startup_quiet_ms``.
-        """
-        return (
-            bool(self._link_by_key)
-            and not self._runs.orphans_by_worker
-            and now_ms - self._last_synced_ms >= self._options.startup_quiet_ms
-        )
-
-    def _max_priority(self, now_ms: int) -> int | None:
-        """Return the highest priority number that may start tasks.
-
-        A worker that has not reported yet may have lost its runs, as after
-        a power failure. Less urgent work would take the capacity on which
-        they have to start again.
-        """
-        if (
-            now_ms - self._term_started_ms
-            >= self._options.startup_fill_wait_ms
-        ):
-            return None
-        return min(
-            (
-                run.job.terms.priority
-                for run in self._runs.run_by_key.values()
-                if run.is_inherited and not run.is_confirmed
-            ),
-            default=None,
-        )
-
-    def _record_blocked_steps(self, blocked: list[planner.Blocked]) -> None:
+    def _record_blocked_steps(self, blocked: list[plans.Blocked]) -> None:
         """Record why steps wait, whenever the reason changes."""
         reason_by_step = {
             (item.job.job_id, item.step_index): item.reason for item in blocked
@@ -728,7 +697,7 @@
         self._blocked_reason_by_step = reason_by_step
 
     def _start_run(
-        self, start: planner.Start, now_ms: int, wall_ms: int
+        self, start: plans.Start, now_ms: int, wall_ms: int
     ) -> None:
         job, task, worker = start.job, start.task, start.worker
         step = job.step_of(task.key)
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
@@ -17,7 +17,6 @@
 from .capacity import WorkerCapacity
 from .evacuation import Evacuation
 from .options import PlanOptions
-from .plan import Blocked
 from .plan import Plan
 from .plan import Start
 from .plan import Stop
@@ -196,13 +195,8 @@
 
     def _place(self, pending: PendingStep, state: RoundState) -> None:
         if not state.may_start(pending.job):
-            state.plan.blocked.append(
-                Blocked(
-                    pending.job,
-                    pending.step_index,
-                    'capacity is kept for runs whose workers are silent',
-                )
-            )
+            reason = 'capacity is kept for runs whose workers are silent'
+            state.block(pending, reason)
             return
         eligible = self._eligible_workers(pending, state)
         step, count = pending.step, len(pending.tasks)
@@ -214,13 +208,7 @@
             allowed = state.other_capacity.fitting_count(step, count)
             if allowed < count and (step.is_gang or not allowed):
                 self._reserve(pending, eligible, state, in_one_rack=False)
-                state.plan.blocked.append(
-                    Blocked(
-                        pending.job,
-                        pending.step_index,
-                        'capacity is kept for urgent jobs',
-                    )
-                )
+                state.block(pending, 'capacity is kept for urgent jobs')
                 return
             pending.tasks[allowed:] = []
         if step.is_gang:
@@ -409,9 +397,7 @@
             reason = 'waiting for reserved capacity'
         else:
             reason = 'not enough free capacity'
-        state.plan.blocked.append(
-            Blocked(pending.job, pending.step_index, reason)
-        )
+        state.block(pending, reason)
 
     def _preempt(
         self,
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/round_state.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/round_state.py
@@ -7,6 +7,7 @@
 
 from .capacity import TaskDemand
 from .capacity import WorkerCapacity
+from .plan import Blocked
 from .plan import Plan
 from .reservation import Reservation
 from .urgent_load import OtherCapacity
@@ -62,6 +63,12 @@
         dataclasses.field(default_factory=dict)
     )
 
+    def block(self, pending: PendingStep, reason: str) -> None:
+        """Record why a step waits."""
+        self.plan.blocked.append(
+            Blocked(pending.job, pending.step_index, reason)
+        )
+
     def may_start(self, job: jobs.Job) -> bool:
         """Whether tasks of a job may start in this round."""
         return (
