Probe a silent store by reads, not by callers' submissions

In an open circuit the next call after 400 ms was the probe, whoever made it: a submission then waited for its timeout, its outcome was unknown, and its caller could not be told "not run". Relayed submissions did the same to the circuits of other entries.

Change: while the circuit is open, a loop of the entry reads the leader's key every 400 ms; every other call fails at once as not sent. A submission with an open outcome still waits for the store, at most 1.5 s.

Two new tests fail before. test_open_circuit_lets_one_probe_through is replaced by them: no call passes an open circuit, probes are reads, at most one an interval, and close it. test_retry_with_unknown_outcome runs the probes, as the entry does.

Left: the submission that is under way when the store falls silent waits its 1.5 s; nobody knows of the outage then.

--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/entry.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/entry.py
@@ -223,6 +223,7 @@
         for coroutine in (
             self._receive(),
             self._feed.run(),
+            self.store.run_probes(),
             self._send_notices(),
             self._watch_leader(),
             self._registration.run(),
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/gateway.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/gateway.py
@@ -1,5 +1,6 @@
 """Access of an entry to the store, directly or relayed by another entry."""
 
+import asyncio
 import typing as t
 
 from mulberryloom_core import clock as clocks
@@ -12,6 +13,7 @@
 import structlog
 
 from . import calls
+from . import keys
 from . import store_circuit
 from . import store_codec
 
@@ -25,6 +27,7 @@
 MAX_RETRY_AFTER_MS = 3_000
 #: Number of peers that are tried for one relayed call, in turn.
 MAX_RELAY_PEERS = 2
+_MS_PER_S = 1_000
 
 _log = structlog.get_logger(__name__)
 
@@ -116,7 +119,7 @@
 
         It fails at once, without having run, while the circuit is open.
         """
-        if self._circuit.try_begin(self._clock.now_ms()):
+        if not self._circuit.is_open:
             return await self.call_direct(request)
         self._metrics.count('store_calls_suppressed_total')
         return Err(
@@ -127,6 +130,17 @@
             )
         )
 
+    async def run_probes(self) -> None:
+        """Probe the store while the circuit is open; never returns.
+
+        The probe is a read: a caller's write would be left with an unknown
+        outcome, and its caller waiting, if the store is still silent.
+        """
+        while True:
+            await asyncio.sleep(store_circuit.PROBE_INTERVAL_MS / _MS_PER_S)
+            if self._circuit.is_open:
+                await self.call_direct(store.GetKey(keys.LEADER))
+
     @property
     def direct(self) -> 'DirectStore':
         """Client of the store that never relays."""
@@ -161,7 +175,7 @@
             self._circuit.record_answer()
         else:
             self._direct_failed_ms = now_ms
-            self._circuit.record_failure(now_ms)
+            self._circuit.record_failure()
         self._log_circuit(was_open)
         if is_reachable == self._is_direct_reachable:
             return
--- a/packages/mulberryloom-entry/tests/test_job_intake.py
+++ b/packages/mulberryloom-entry/tests/test_job_intake.py
@@ -258,10 +258,14 @@
     def __init__(self):
         self.core = store_core.StoreCore()
         self.is_silent = True
-        self.call_count = 0
+        self.requests = []
+
+    @property
+    def call_count(self):
+        return len(self.requests)
 
     async def call(self, request):
-        self.call_count += 1
+        self.requests.append(request)
         if self.is_silent:
             await asyncio.sleep(CALL_TIMEOUT_S)
             return _unavailable(exceptions.Ran.UNKNOWN)
@@ -353,28 +357,64 @@
         await job_intake.submit(JOB_ID, SPEC, TERMS, 100)
         direct_store.lost_answers = 0
         direct_store.refused_calls = 2
-        return await job_intake.submit(JOB_ID, SPEC, TERMS, 1_500)
+        probes = asyncio.create_task(job_intake._store.run_probes())
+        result = await job_intake.submit(JOB_ID, SPEC, TERMS, 1_500)
+        probes.cancel()
+        return result
 
     assert asyncio.run(submit_twice()).is_ok()
 
 
 def test_circuit_opens_on_consecutive_failures_only():
     circuit = store_circuit.StoreCircuit()
-    circuit.record_failure(0)
+    circuit.record_failure()
     circuit.record_answer()
-    circuit.record_failure(10)
+    circuit.record_failure()
     assert not circuit.is_open
-    circuit.record_failure(20)
+    circuit.record_failure()
     assert circuit.is_open
+    circuit.record_answer()
+    assert not circuit.is_open
 
 
-def test_open_circuit_lets_one_probe_through_in_each_interval():
-    circuit = store_circuit.StoreCircuit()
-    for _ in range(store_circuit.FAILURES_TO_OPEN):
-        circuit.record_failure(0)
-    probe_ms = store_circuit.PROBE_INTERVAL_MS
-    assert not circuit.try_begin(probe_ms - 1)
-    assert circuit.try_begin(probe_ms)
-    assert not circuit.try_begin(probe_ms + 1)
-    circuit.record_answer()
-    assert circuit.try_begin(probe_ms + 2)
+def test_submission_is_never_the_probe_of_an_open_circuit():
+    """It would have an unknown outcome and wait in a known outage."""
+    direct_store = SilentStore()
+    job_intake, _, _ = _make_intake(direct_store)
+
+    async def submit_long_after_the_failures():
+        await _submit_during_outage(job_intake, direct_store)
+        probe_s = store_circuit.PROBE_INTERVAL_MS / 1_000
+        await asyncio.sleep(1.5 * probe_s)
+        calls_before = direct_store.call_count
+        result = await job_intake.submit('c' * 16, SPEC, TERMS, 1_000)
+        return result, direct_store.call_count - calls_before
+
+    result, call_count = asyncio.run(submit_long_after_the_failures())
+    assert result.unwrap_err().ran is exceptions.Ran.NO
+    assert call_count == 0
+
+
+def test_probes_are_reads_at_intervals_and_close_the_circuit():
+    direct_store = SilentStore()
+    job_intake, _, _ = _make_intake(direct_store)
+    intervals = 3
+
+    async def recover_after_some_intervals():
+        probes = asyncio.create_task(job_intake._store.run_probes())
+        await _submit_during_outage(job_intake, direct_store)
+        calls_before = direct_store.call_count
+        probe_s = store_circuit.PROBE_INTERVAL_MS / 1_000
+        await asyncio.sleep(intervals * probe_s)
+        probe_count = direct_store.call_count - calls_before
+        direct_store.is_silent = False
+        await asyncio.sleep(1.5 * probe_s)
+        result = await job_intake.submit(JOB_ID, SPEC, TERMS, 1_000)
+        probes.cancel()
+        return probe_count, result
+
+    probe_count, result = asyncio.run(recover_after_some_intervals())
+    assert 1 <= probe_count <= intervals
+    assert result.is_ok()
+    kinds = {type(request) for request in direct_store.requests[2:-1]}
+    assert kinds == {store.GetKey}
