Log what tells why a run was discarded while it went on

The logs could not tell the hypotheses on two runs of one task apart: they did not show that a worker still lists a run which the leader has discarded, nor whether an earlier start call was still open, which incarnation a notice of leave was applied to, that an agent had been suspended, or when it took a lease for expired. Each of these is now one line, and the leader counts untracked_runs_total. No decision depends on the new fields.

--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
@@ -67,11 +67,14 @@
     :param is_in_flight: whether a call has been sent and not returned.
     :param next_attempt_ms: earliest time of the next call.
     :param attempts: number of calls so far.
+    :param unanswered_attempts: number of earlier calls without a reply,
+        which the worker may still carry out.
     """
 
     is_in_flight: bool = False
     next_attempt_ms: int = 0
     attempts: int = 0
+    unanswered_attempts: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -132,6 +135,8 @@
         self._lease_end_ms = now_ms + options.lease_ms
         self._last_reply_ms = now_ms
         self._has_left = False
+        #: Whether the last report said that runs may go on.
+        self._could_run = True
         self._last_round_ms = now_ms
         self._resumed_ms = now_ms - options.resumption_ms
         self._report_due_ms = now_ms
@@ -205,7 +210,12 @@
     def on_leave(self, worker: str) -> None:
         """Mark the worker as gone after it has announced its exit."""
         if self.info is not None and self.info.worker == worker:
-            _log.info('worker left', worker=worker)
+            _log.info(
+                'worker left',
+                worker=worker,
+                boot=self.info.boot,
+                running=len(self._running),
+            )
             self._has_left = True
             self._has_unreported_changes = True
 
@@ -398,12 +408,16 @@
             run=call.start.run_number,
             status=status.value,
             attempts=pending.attempts,
+            unanswered=pending.unanswered_attempts,
         )
         if status in (
             worker_calls.CallStatus.UNKNOWN,
             worker_calls.CallStatus.EXPIRED,
         ):
             pending.next_attempt_ms = now_ms + self._options.retry_delay_ms
+            pending.unanswered_attempts += (
+                status is worker_calls.CallStatus.UNKNOWN
+            )
             return
         del self._pending_start_by_key[key]
         if status is worker_calls.CallStatus.DONE:
@@ -436,6 +450,11 @@
         """Return the calls to the worker that are due."""
         if now_ms - self._last_round_ms >= self._options.suspension_ms:
             self._resumed_ms = now_ms
+            _log.warning(
+                'agent was suspended',
+                duration_ms=now_ms - self._last_round_ms,
+                running=len(self._running),
+            )
         self._last_round_ms = now_ms
         if self.info is None or not self.generation or self._has_left:
             return []
@@ -611,6 +630,17 @@
         self._has_unreported_changes = False
         self._report_due_ms = now_ms + self._options.report_interval_ms
         can_run = self._can_run(now_ms)
+        if self._could_run and not can_run:
+            _log.warning(
+                'worker lease counts as expired',
+                worker=info.worker,
+                boot=info.boot,
+                has_left=self._has_left,
+                running=len(self._running),
+                reply_age_ms=now_ms - self._last_reply_ms,
+                lease_age_ms=now_ms - self._lease_end_ms,
+            )
+        self._could_run = can_run
         if not can_run:
             # All deadlines that were sent have passed: a run that has not
             # started can start only if it is sent again.
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -381,6 +381,7 @@
         now_ms: int,
     ) -> None:
         """Update the listed runs; have those not tracked stopped."""
+        known_before = set(link.unknown_runs)
         link.unknown_runs.clear()
         for item in report.running:
             key = (item.task, item.run_number)
@@ -388,6 +389,16 @@
             if run is None:
                 link.unknown_runs.add(key)
                 link.has_pending_orders = True
+                if key not in known_before:
+                    self._metrics.count('untracked_runs_total')
+                    _log.warning(
+                        'untracked run listed',
+                        task=item.task,
+                        run=item.run_number,
+                        worker=report.worker,
+                        boot=report.boot,
+                        age_ms=now_ms - self._term_started_ms,
+                    )
                 continue
             if not run.is_confirmed:
                 run.confirm(item.progress, now_ms)
