--- a/packages/mulberryloom-agent/tests/test_worker_supervisor.py
+++ b/packages/mulberryloom-agent/tests/test_worker_supervisor.py
@@ -292,3 +292,43 @@
         agent.now_ms + options.report_interval_ms
     )
     assert not report.is_alive
+
+
+# Guards against two runs of one task: the worker may still carry out a start
+# call that it did not answer, after it has refused the next one.
+def test_start_refused_after_an_unanswered_call_is_stopped():
+    agent = Agent()
+    agent.order(starts=[START])
+    (first,) = agent.calls(worker_calls.StartCall)
+    agent.now_ms += 500
+    unanswered = worker_calls.CallReply(worker_calls.CallStatus.UNKNOWN)
+    agent.supervisor.on_start_reply(first, unanswered, agent.now_ms)
+    agent.now_ms += 150
+    (second,) = agent.calls(worker_calls.StartCall)
+    refused = worker_calls.CallReply(worker_calls.CallStatus.UNHEALTHY)
+    agent.supervisor.on_start_reply(second, refused, agent.now_ms)
+    (stop,) = agent.calls(worker_calls.StopCall)
+    assert stop.run == messages.RunRef(START.task, 1)
+    assert agent.has_reported(1)
+
+
+# Guards against two runs of one task: a notice of leave names the worker, not
+# its incarnation, and the worker may have started again under its name.
+def test_late_notice_of_leave_ends_no_run_of_a_worker_that_replies():
+    agent = Agent()
+    agent.supervisor.on_heartbeat(_info(boot=2), agent.now_ms)
+    (hold,) = agent.calls()
+    agent.supervisor.on_hold_reply(
+        hold, _hold_reply(agent.now_ms, [1], boot=2), agent.now_ms
+    )
+    agent.supervisor.on_leave('w')
+    report = agent.supervisor.take_report(agent.now_ms)
+    assert report.is_alive
+    (hold,) = agent.calls()
+    agent.supervisor.on_hold_reply(
+        hold, _hold_reply(agent.now_ms, [1], boot=2), agent.now_ms
+    )
+    agent.now_ms += 1_000
+    report = agent.supervisor.take_report(agent.now_ms)
+    assert report.is_alive
+    assert [item.run_number for item in report.running] == [1]
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/worker.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/worker.py
@@ -61,6 +61,7 @@
     :param lease_limit_ms: longest lease that the worker accepts, from now.
     :ivar is_failing_every_run: whether every run fails as soon as it works.
     :ivar is_stuck: whether runs make no progress.
+    :ivar is_shedding: whether it refuses a part of the orders as unhealthy.
     :ivar ends: ends of runs that have not been acknowledged.
     """
 
@@ -82,6 +83,7 @@
         self.is_draining = False
         self.is_failing_every_run = False
         self.is_stuck = False
+        self.is_shedding = False
         self.run_by_task: dict[str, WorkerRun] = {}
         self.ends: list[messages.EndedTask] = []
         #: Sequences of the ends that were not yet acknowledged when the
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/world.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/world.py
@@ -119,6 +119,8 @@
         self.random = random.Random(seed)
         self.faults = faults or Faults()
         self.now_ms = 1_000_000
+        #: Error of the time of day, with which workers date their starts.
+        self.wall_offset_ms = 0
         self.store = store_core.StoreCore()
         self.oracle = oracles.Oracle()
         self.catalogue = catalogues.Catalogue.from_parts(
@@ -272,7 +274,7 @@
         old = agent.worker
         agent.worker = workers.WorkerStandIn(
             old.worker,
-            self.now_ms,
+            self.now_ms + self.wall_offset_ms,
             old.rack,
             self._work_of,
             self.random.randrange(100_000),
@@ -287,6 +289,39 @@
         agent.worker.worker = f'{agent.worker.worker}x'
         self.restart_agent(agent)
 
+    def drain_worker(self, agent: _Agent) -> None:
+        """Announce the end of a worker, which leaves seconds later.
+
+        Another worker starts on its VM. The notice of the end may reach the
+        agent only after that.
+        """
+        leaving = agent.worker
+        if leaving.is_draining:
+            return
+        leaving.is_draining = True
+        agent.heartbeat_due_ms = self.now_ms
+
+        def leave() -> None:
+            if agent.worker is not leaving:
+                return
+            self.restart_worker(agent)
+            if self.random.random() < 0.5:
+                agent.worker.worker = f'{leaving.worker}x'
+            self._after(
+                self.random.choice([1, 1, 600, 3_000]),
+                lambda: agent.supervisor.on_leave(leaving.worker),
+            )
+
+        self._after(self.random.randrange(1_000, 5_000), leave)
+
+    def restart_worker_twice(self, agent: _Agent) -> None:
+        """Crash a worker, and its next incarnation soon after."""
+        self.restart_worker(agent)
+        self._after(
+            self.random.randrange(500, 3_000),
+            lambda: self.restart_worker(agent),
+        )
+
     def kill_entry(self, entry: _Entry) -> None:
         """Kill an entry; another one takes over if it was the leader."""
         entry.is_dead = True
@@ -429,6 +464,10 @@
         def execute() -> t.Any:
             if worker is not agent.worker:
                 return None
+            if self._is_shed(worker, call):
+                return worker_calls.CallReply(
+                    worker_calls.CallStatus.UNHEALTHY
+                )
             if isinstance(call, worker_calls.HoldCall):
                 self.oracle.record_acknowledged(worker, call.observed)
                 return worker.hold(call, self.now_ms)
@@ -456,6 +495,13 @@
         else:
             self._after(self.random.randrange(1, 20), execute_and_reply)
 
+    def _is_shed(
+        self, worker: workers.WorkerStandIn, call: worker_supervisor.Call
+    ) -> bool:
+        """Whether an overloaded worker refuses an order."""
+        is_order = not isinstance(call, worker_calls.HoldCall)
+        return worker.is_shedding and is_order and self.random.random() < 0.5
+
     def _advance_entry(self, entry: _Entry) -> None:
         leader = entry.leader
         if leader.is_deposed:
--- a/packages/mulberryloom-standins/tests/test_job_simulation.py
+++ b/packages/mulberryloom-standins/tests/test_job_simulation.py
@@ -177,3 +177,28 @@
         world.oracle.check_running(
             [a.worker for a in world.agents], world.now_ms
         )
+
+
+# Guards against two runs of one task: an overloaded worker refuses the
+# repetition of a start call, and carries the first one out seconds later.
+@pytest.mark.parametrize('seed', [10, 13, 21, 30])
+def test_start_that_is_refused_and_executed_late_starts_no_task_twice(seed):
+    world = worlds.World(seed, worlds.Faults(late_call_share=0.3))
+    world.run(1_500)
+    for agent in world.agents:
+        agent.worker.is_shedding = True
+    step = jobs.Step(2, 1_000, accelerators=4, estimate_ms=1_500)
+    for number in range(6):
+        world.submit(f'{number:016x}', (step,), duration_ms=6_000)
+    world.run(40_000)
+
+
+# Guards against two runs of one task: the notice that a worker leaves arrives
+# after the worker has started again under its name.
+def test_late_notice_of_leave_starts_no_task_twice():
+    world = _world()
+    world.submit('a' * 16, (_step(4),), duration_ms=20_000)
+    world.run(1_000)
+    agent = next(a for a in world.agents if a.worker.run_by_task)
+    agent.supervisor.on_leave(agent.worker.worker)
+    world.run(20_000)
