Stop a refused start of which an earlier call may still be carried out

Cause: an agent repeats a start call that the worker did not answer. When the worker refused the repetition as unhealthy (429, 503), for want of room or as another incarnation, the agent settled the whole start by that answer, although it holds for one call only. The first call may be carried out until its deadline, up to 6 s later. The leader saw the run neither listed nor pending, discarded it, started the task elsewhere and gave its room away.

Mend: only an answer that holds for every call of the run settles a start: done, superseded, fenced. After any other one the run is stopped at the worker if a call of it may be open, which bars it for good, and is reported as pending until the stop is answered. Calls may also be open from the agent's earlier process, of which the new one knows nothing; for one lease after its start every start that it does not carry out is stopped.

--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
@@ -21,6 +21,15 @@
 )
 #: Task name and run number.
 RunKey: t.TypeAlias = tuple[str, int]
+#: Outcomes of a start call that hold for every call that starts the run:
+#: calls that the worker carries out later have the same outcome.
+_FINAL_START_STATUSES = frozenset(
+    {
+        worker_calls.CallStatus.DONE,
+        worker_calls.CallStatus.SUPERSEDED,
+        worker_calls.CallStatus.FENCED,
+    }
+)
 
 _log = structlog.get_logger(__name__)
 
@@ -59,6 +68,14 @@
     suspension_ms: int = 1_000
     resumption_ms: int = 400
 
+    @property
+    def lease_slack_ms(self) -> int:
+        """Time after which a lease that has ended is certainly over.
+
+        2 % of its duration, for slow worker clocks, and the margin.
+        """
+        return self.lease_ms // 50 + self.margin_ms
+
 
 @dataclasses.dataclass(slots=True)
 class _PendingOrder:
@@ -133,6 +150,11 @@
         # An earlier process of this agent may have renewed the lease for
         # its full duration just before.
         self._lease_end_ms = now_ms + options.lease_ms
+        #: Time after which the worker carries out no call of an earlier
+        #: process any more.
+        self._predecessor_calls_end_ms = (
+            self._lease_end_ms + options.lease_slack_ms
+        )
         self._last_reply_ms = now_ms
         self._has_left = False
         #: Whether the last report said that runs may go on.
@@ -157,7 +179,7 @@
                 worker=info.worker,
                 remaining_ms=info.remaining_ms,
             )
-            self._drop_unsent_starts()
+            self._abandon_unsent_starts(now_ms)
         if previous is None or _without_volatile_fields(
             info
         ) != _without_volatile_fields(previous):
@@ -283,33 +305,64 @@
         """
         assert self.info is not None
         key = (start.task, start.run_number)
-        if self.info.is_draining or self._has_left:
-            _log.info('start refused', task=start.task, reason='draining')
-            return
         if (
             key in self._pending_start_by_key
             or key in self._pending_stop_by_key
         ):
             return
+        if self.info.is_draining or self._has_left:
+            self._refuse_start(key, 'draining', now_ms)
+            return
         if expires_ms <= now_ms:
-            _log.info('start refused', task=start.task, reason='expired')
+            self._refuse_start(key, 'expired', now_ms)
             return
         self._pending_start_by_key[key] = _PendingStart(
             next_attempt_ms=now_ms, start=start, expires_ms=expires_ms
         )
 
+    def _refuse_start(self, key: RunKey, reason: str, now_ms: int) -> None:
+        """Do not send a start that was ordered."""
+        task, run_number = key
+        _log.info('start refused', task=task, run=run_number, reason=reason)
+        is_listed = key in _run_keys(self._running)
+        if self._may_predecessor_have_calls(now_ms) and not is_listed:
+            self._stop_run(key, now_ms)
+
     def _on_stop_ordered(self, run: messages.RunRef, now_ms: int) -> None:
         key = (run.task, run.run_number)
         self._pending_start_by_key.pop(key, None)
-        self._pending_stop_by_key.setdefault(
-            key, _PendingOrder(next_attempt_ms=now_ms)
-        )
+        self._stop_run(key, now_ms)
 
-    def _drop_unsent_starts(self) -> None:
-        """Give up starts that were never sent to the worker."""
+    def _abandon_unsent_starts(self, now_ms: int) -> None:
+        """Abandon starts that this process has not sent to the worker."""
         for key, pending in list(self._pending_start_by_key.items()):
             if not pending.is_in_flight and not pending.attempts:
-                del self._pending_start_by_key[key]
+                self._abandon_start(key, now_ms)
+
+    def _abandon_start(self, key: RunKey, now_ms: int) -> None:
+        """Do not send a start any more.
+
+        The run is stopped if the worker may still carry out a call without
+        a reply, until when the reports name it.
+        """
+        pending = self._pending_start_by_key.pop(key)
+        self._has_unreported_changes = True
+        is_call_open = pending.is_in_flight or pending.unanswered_attempts
+        if is_call_open or self._may_predecessor_have_calls(now_ms):
+            self._stop_run(key, now_ms)
+
+    def _may_predecessor_have_calls(self, now_ms: int) -> bool:
+        """Whether the worker may carry out calls of an earlier process.
+
+        Such a process of this agent has set no deadline beyond the lease that
+        is assumed at the start.
+        """
+        return now_ms < self._predecessor_calls_end_ms
+
+    def _stop_run(self, key: RunKey, now_ms: int) -> None:
+        self._pending_stop_by_key.setdefault(
+            key, _PendingOrder(next_attempt_ms=now_ms)
+        )
 
     # Replies of the worker
 
@@ -419,7 +472,10 @@
                 status is worker_calls.CallStatus.UNKNOWN
             )
             return
-        del self._pending_start_by_key[key]
+        if status not in _FINAL_START_STATUSES:
+            self._abandon_start(key, now_ms)
+        else:
+            del self._pending_start_by_key[key]
         if status is worker_calls.CallStatus.DONE:
             self._confirming_hold_id_by_key[key] = self._last_hold_id + 1
         self._hold_due_ms = min(self._hold_due_ms, now_ms)
@@ -458,7 +514,7 @@
         self._last_round_ms = now_ms
         if self.info is None or not self.generation or self._has_left:
             return []
-        self._drop_expired_starts(now_ms)
+        self._abandon_expired_starts(now_ms)
         calls: list[Call] = []
         if self._is_hold_due(now_ms):
             calls.append(self._make_hold_call(now_ms))
@@ -487,21 +543,10 @@
                 )
         return calls
 
-    def _drop_expired_starts(self, now_ms: int) -> None:
-        """Give up expired starts.
-
-        The worker may still carry out a start that was sent, so such a
-        run is stopped.
-        """
+    def _abandon_expired_starts(self, now_ms: int) -> None:
         for key, pending in list(self._pending_start_by_key.items()):
-            if pending.expires_ms > now_ms:
-                continue
-            del self._pending_start_by_key[key]
-            self._has_unreported_changes = True
-            if pending.attempts:
-                self._pending_stop_by_key.setdefault(
-                    key, _PendingOrder(next_attempt_ms=now_ms)
-                )
+            if pending.expires_ms <= now_ms:
+                self._abandon_start(key, now_ms)
 
     @staticmethod
     def _mark_sent(pending: _PendingOrder) -> None:
@@ -607,10 +652,7 @@
         options = self._options
         if now_ms - self._resumed_ms < options.resumption_ms:
             return True
-        # Added to the lease: 2 % of its duration, and the margin for clock
-        # differences.
-        slack_ms = options.lease_ms // 50 + options.margin_ms
-        return now_ms < self._lease_end_ms + slack_ms
+        return now_ms < self._lease_end_ms + options.lease_slack_ms
 
     def _is_worker_responsive(self, now_ms: int) -> bool:
         """Whether the worker replied recently enough.
--- a/packages/mulberryloom-agent/tests/test_worker_supervisor.py
+++ b/packages/mulberryloom-agent/tests/test_worker_supervisor.py
@@ -183,6 +183,8 @@
 
 def test_start_in_delayed_orders_is_refused():
     agent = Agent()
+    # No call of an earlier process of the agent is open any more.
+    agent.now_ms += 7_000
     agent.order(starts=[START], echo_ms=agent.now_ms - 3_000)
     assert agent.calls(worker_calls.StartCall) == []
     assert not agent.has_reported(1)
@@ -312,6 +314,33 @@
     assert agent.has_reported(1)
 
 
+# Guards against two runs of one task: the worker may still carry out a start
+# call of the agent's earlier process, which had been given the same order.
+def test_start_refused_by_a_restarted_agent_is_stopped():
+    agent = Agent()
+    agent.order(starts=[START])
+    (start,) = agent.calls(worker_calls.StartCall)
+    refused = worker_calls.CallReply(worker_calls.CallStatus.UNHEALTHY)
+    agent.supervisor.on_start_reply(start, refused, agent.now_ms)
+    (stop,) = agent.calls(worker_calls.StopCall)
+    assert stop.run == messages.RunRef(START.task, 1)
+    assert agent.has_reported(1)
+
+
+def test_start_refused_at_once_is_reported_as_not_carried_out():
+    agent = Agent()
+    agent.now_ms += 7_000
+    agent.order(starts=[START])
+    agent.supervisor.on_hold_reply(
+        agent.calls()[0], _hold_reply(agent.now_ms), agent.now_ms
+    )
+    (start,) = agent.calls(worker_calls.StartCall)
+    refused = worker_calls.CallReply(worker_calls.CallStatus.UNHEALTHY)
+    agent.supervisor.on_start_reply(start, refused, agent.now_ms)
+    assert agent.calls(worker_calls.StopCall) == []
+    assert not agent.has_reported(1)
+
+
 # Guards against two runs of one task: a notice of leave names the worker, not
 # its incarnation, and the worker may have started again under its name.
 def test_late_notice_of_leave_ends_no_run_of_a_worker_that_replies():
