Accept a restarted worker whose start is dated before its last one

What callers could see: a job that stays in state running, until the worker or its agent restarts once more.

Cause: a worker dates its start by the time of day. When that had stepped back, the agent took all heartbeats of the new incarnation for delayed ones of an earlier one. It ignored the new lists as those of another incarnation, but counted the replies as signs of life, and so reported the runs of the earlier incarnation as running for good.

Mend: the incarnation that answers the agent's calls is the current one, whatever its date; those that it replaced stay earlier ones. The leader takes what the same agent process reported before for earlier, too.

--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
@@ -130,6 +130,9 @@
         self._acknowledged_sequence = 0
         #: Start of the incarnation that replied to the last hold call.
         self._last_reply_boot = 0
+        #: Whether another worker answered the last hold call.
+        self._is_replaced = False
+        self._earlier_incarnations: set[tuple[str, int]] = set()
         self._running: tuple[messages.RunningTask, ...] = ()
         self._ended: tuple[messages.EndedTask, ...] = ()
         #: Whether the lists were read from this incarnation of the worker
@@ -193,24 +196,32 @@
             self._has_unreported_changes = True
         self.info = info
 
-    @staticmethod
     def _is_newer(
-        info: worker_calls.WorkerInfo, previous: worker_calls.WorkerInfo
+        self, info: worker_calls.WorkerInfo, previous: worker_calls.WorkerInfo
     ) -> bool:
         """Whether a heartbeat was sent after the previous one.
 
-        Heartbeats can arrive out of order.
+        Heartbeats can arrive out of order. A worker dates its start by the
+        time of day, which may have stepped back since the start of an
+        earlier incarnation; what answers the calls decides then.
         """
-        if info.boot != previous.boot:
-            return info.boot > previous.boot
-        if info.worker != previous.worker:
+        if _incarnation(info) == _incarnation(previous):
+            return info.sequence > previous.sequence
+        if _incarnation(info) in self._earlier_incarnations:
+            return False
+        if info.boot >= previous.boot:
             return True
-        return info.sequence > previous.sequence
+        if info.worker == previous.worker:
+            return info.boot == self._last_reply_boot
+        return self._is_replaced
 
     def _on_new_incarnation(
         self, info: worker_calls.WorkerInfo, now_ms: int
     ) -> None:
         """Discard everything known about an earlier incarnation."""
+        if self.info is not None:
+            self._earlier_incarnations.add(_incarnation(self.info))
+        self._is_replaced = False
         _log.info(
             'new worker incarnation',
             worker=info.worker,
@@ -442,7 +453,11 @@
                 _log.info('worker left', worker=call.worker)
                 self._has_left = True
                 self._has_unreported_changes = True
-        elif reply.status is not worker_calls.CallStatus.UNKNOWN:
+            return
+        self._is_replaced = (
+            reply.status is worker_calls.CallStatus.OTHER_INCARNATION
+        )
+        if reply.status is not worker_calls.CallStatus.UNKNOWN:
             _log.warning(
                 'lease renewal rejected',
                 worker=call.worker,
--- a/packages/mulberryloom-agent/tests/test_worker_supervisor.py
+++ b/packages/mulberryloom-agent/tests/test_worker_supervisor.py
@@ -218,6 +218,22 @@
     assert agent.supervisor.info.boot == 2
 
 
+def test_answering_incarnation_is_current_though_its_start_is_dated_back():
+    agent = Agent()
+    agent.supervisor.on_heartbeat(_info(boot=9), agent.now_ms)
+    (hold,) = agent.calls()
+    earlier = _info(boot=5, sequence=1)
+    agent.supervisor.on_heartbeat(earlier, agent.now_ms)
+    assert agent.supervisor.info.boot == 9
+    agent.supervisor.on_hold_reply(
+        hold, _hold_reply(agent.now_ms, boot=5), agent.now_ms
+    )
+    agent.supervisor.on_heartbeat(earlier, agent.now_ms)
+    assert agent.supervisor.info.boot == 5
+    agent.supervisor.on_heartbeat(_info(boot=9, sequence=99), agent.now_ms)
+    assert agent.supervisor.info.boot == 5
+
+
 def test_lease_is_renewed_only_while_leadership_is_confirmed():
     agent = Agent()
     agent.order()
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -317,7 +317,7 @@
             link.capacity.run_by_key.update(
                 self._runs.orphans_by_worker.pop(key, {})
             )
-            self._discard_earlier_incarnations(link, now_ms)
+            self._discard_earlier_incarnations(link, previous_key, now_ms)
             link.capacity.recompute_free()
         elif link.node != node:
             self._key_by_node.pop(link.node, None)
@@ -337,19 +337,27 @@
             self._link_by_key[key].reset_session(node)
 
     def _discard_earlier_incarnations(
-        self, link: fleet.WorkerLink, now_ms: int
+        self,
+        link: fleet.WorkerLink,
+        previous_key: fleet.WorkerKey | None,
+        now_ms: int,
     ) -> None:
         """Discard the runs of earlier workers on the same VM.
 
         A VM runs one worker at a time. A restarted worker may keep its id,
         so that a start in transit may reach the new incarnation. Such a
         run is moved there and stopped before its task can start again.
+
+        :param previous_key: incarnation that the same agent process reported
+            before. It is an earlier one, even if the time of day has stepped
+            back since its start.
         """
         worker, boot = link.key
         earlier_keys = [
             key
             for key, vm in self._runs.vm_by_worker().items()
-            if (key[0] == worker or vm == link.vm) and key[1] < boot
+            if (key[0] == worker or vm == link.vm)
+            and (key[1] < boot or key == previous_key)
         ]
         for key in earlier_keys:
             earlier_link = self._link_by_key.get(key)
