Set no worker deadline after a suspension before the clock is known

A deadline is a time on the worker's clock, which stands still while its VM is suspended; the agent's does not. Until the next reply the agent computed deadlines too far ahead by the length of the suspension, so that a call which is carried out late counted as expired at the agent and started all the same. The agent now forgets the offset of the clocks when it has been suspended, and asks for the lists at once. Stops need no deadline and are sent all the while.

--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
@@ -547,6 +547,10 @@
                 duration_ms=now_ms - self._last_round_ms,
                 running=len(self._running),
             )
+            # The worker's clock may have stood still meanwhile, and deadlines
+            # by the old offset would lie too far ahead.
+            self._clock_offset_ms = None
+            self._hold_due_ms = now_ms
         self._last_round_ms = now_ms
         if self.info is None or not self.generation or self._has_left:
             return []
@@ -554,8 +558,6 @@
         calls: list[Call] = []
         if self._is_hold_due(now_ms):
             calls.append(self._make_hold_call(now_ms))
-        if self._clock_offset_ms is None:
-            return calls
         worker = self.info.worker
         for key, pending in self._pending_start_by_key.items():
             if not pending.is_in_flight and pending.next_attempt_ms <= now_ms:
@@ -594,21 +596,18 @@
 
         While another hold call is open, the next one is due only when newer
         lists are needed than the open call returns. While there are no
-        current lists, the next one is due 500 ms after the latest call.
+        current lists, or the worker's clock is unknown, the next one is due
+        500 ms after the latest call.
         """
         if self._hold_due_ms > now_ms:
             return False
         if not self._hold_sent_ms_by_id:
             return True
-        needs_new_lists = not self._has_current_lists or bool(
-            self._confirming_hold_id_by_key
-        )
         latest_id = max(self._hold_sent_ms_by_id)
+        if not self._has_current_lists or self._clock_offset_ms is None:
+            return now_ms - self._hold_sent_ms_by_id[latest_id] >= 500
         needed_id = max(self._confirming_hold_id_by_key.values(), default=0)
-        is_covered = latest_id >= needed_id and self._has_current_lists
-        if not self._has_current_lists:
-            is_covered = now_ms - self._hold_sent_ms_by_id[latest_id] < 500
-        return needs_new_lists and not is_covered
+        return latest_id < needed_id
 
     def _make_hold_call(self, now_ms: int) -> worker_calls.HoldCall:
         assert self.info is not None
--- a/packages/mulberryloom-agent/tests/test_worker_supervisor.py
+++ b/packages/mulberryloom-agent/tests/test_worker_supervisor.py
@@ -297,6 +297,22 @@
     assert report.ended == [done]
 
 
+# Guards against two runs of one task: the worker's clock stands still while
+# its VM is suspended, and a deadline by the old offset lies too far ahead.
+def test_resumed_agent_sets_no_deadline_before_it_knows_the_clock_anew():
+    agent = Agent()
+    agent.now_ms += 5_000
+    agent.order(starts=[START])
+    (hold,) = agent.supervisor.due_calls(agent.now_ms)
+    assert hold.deadline_ms == 0
+    worker_clock_ms = agent.now_ms - 5_000
+    agent.supervisor.on_hold_reply(
+        hold, _hold_reply(worker_clock_ms), agent.now_ms
+    )
+    (start,) = agent.calls(worker_calls.StartCall)
+    assert start.deadline_ms == worker_clock_ms + 6_000
+
+
 def test_resumed_agent_reports_expiry_of_a_silent_worker():
     agent = Agent()
     agent.order(starts=[START])
