--- a/packages/mulberryloom-agent/tests/test_worker_supervisor.py
+++ b/packages/mulberryloom-agent/tests/test_worker_supervisor.py
@@ -373,6 +373,24 @@
     assert not agent.has_reported(1)
 
 
+# Guards against two runs of one task: a restarted worker knows nothing of the
+# runs that ended before, and may be reached by a start call of before.
+def test_restarted_worker_is_told_to_stop_runs_whose_start_calls_are_open():
+    agent = Agent()
+    agent.order(starts=[START])
+    (start,) = agent.calls(worker_calls.StartCall)
+    unanswered = worker_calls.CallReply(worker_calls.CallStatus.UNKNOWN)
+    agent.supervisor.on_start_reply(start, unanswered, agent.now_ms)
+    agent.now_ms += 150
+    (start,) = agent.calls(worker_calls.StartCall)
+    done = worker_calls.CallReply(DONE)
+    agent.supervisor.on_start_reply(start, done, agent.now_ms)
+    agent.now_ms += 900
+    agent.supervisor.on_heartbeat(_info(boot=2), agent.now_ms)
+    (stop,) = agent.calls(worker_calls.StopCall)
+    assert stop.run == messages.RunRef(START.task, 1)
+
+
 # Guards against two runs of one task: a notice of leave names the worker, not
 # its incarnation, and the worker may have started again under its name.
 def test_late_notice_of_leave_ends_no_run_of_a_worker_that_replies():
