Keep whether a relayed store write ran when it fails at the other entry

What callers could see: a submission refused with 503 (never runs) whose job runs later.

Cause: an entry that relays a store call for another one answered with the kind of the error only, and the caller rebuilt the error with the default of the kind, which for an unavailable store says that nothing ran. A write that the other entry sent and the store left unanswered thus counted as not carried out: again an outcome of one call taken for that of all.

Mend: the reply to a failed call says in its body whether the operation ran; one without a body, from an earlier build, may have run.

--- a/packages/mulberryloom-core/src/mulberryloom_core/messages.py
+++ b/packages/mulberryloom-core/src/mulberryloom_core/messages.py
@@ -650,7 +650,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EntryReply:
-    """Reply to an :class:`EntryCall`; ``error`` is empty on success."""
+    """Reply to an :class:`EntryCall`; ``error`` is empty on success.
+
+    :param body: the result, or after an error whether the call ran.
+    """
 
     call_id: int
     error: str
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/calls.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/calls.py
@@ -31,6 +31,23 @@
     STORE = 'store'
 
 
+def error_reply(call_id: int, error: exceptions.Error) -> messages.EntryReply:
+    """Return the reply to a call that failed.
+
+    Its body tells whether the operation ran.
+    """
+    return messages.EntryReply(
+        call_id, error.kind.value, error.ran.value.encode()
+    )
+
+
+def _error_of(reply: messages.EntryReply) -> exceptions.Error:
+    """Return the error of a reply; without a body it may have run."""
+    kind = exceptions.ErrorKind(reply.error)
+    ran = exceptions.Ran(reply.body.decode() or exceptions.Ran.UNKNOWN.value)
+    return exceptions.Error.from_kind(kind, ran=ran)
+
+
 class PeerCalls:
     """Calls from this entry to its peers.
 
@@ -79,8 +96,7 @@
         finally:
             self._pending_reply_by_id.pop(call_id, None)
         if answer.error:
-            error_kind = exceptions.ErrorKind(answer.error)
-            return Err(exceptions.Error.from_kind(error_kind))
+            return Err(_error_of(answer))
         return Ok(answer.body)
 
     def send_notification(
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/entry.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/entry.py
@@ -429,8 +429,7 @@
         if result.is_ok():
             reply = messages.EntryReply(call.call_id, '', result.unwrap())
         else:
-            error = result.unwrap_err()
-            reply = messages.EntryReply(call.call_id, error.kind.value, b'')
+            reply = calls.error_reply(call.call_id, result.unwrap_err())
         self._send_entry(sender, reply)
 
     async def _execute_call(
