Wait for the end of a run whose start is refused as superseded

What callers could see: a start after the task was done (TWICE), or beyond its attempts (BUDGET).

A call that was carried out and not answered may have led to the end of the run before it is repeated; the repetition is refused as superseded, and the agent took that for not carried out. If its lists were older, the leader saw the run nowhere, discarded it and started the task again before it learnt of the end.

Mend: such a run is reported as pending until lists that were requested later have arrived, which show its end. Test: failed before.

--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
@@ -544,7 +544,11 @@
             self._abandon_start(key, now_ms)
         else:
             del self._pending_start_by_key[key]
-        if status is worker_calls.CallStatus.DONE:
+        if status in (
+            worker_calls.CallStatus.DONE,
+            worker_calls.CallStatus.SUPERSEDED,
+        ):
+            # The run may have ended already, by an earlier call.
             self._confirming_hold_id_by_key[key] = self._last_hold_id + 1
         self._hold_due_ms = min(self._hold_due_ms, now_ms)
         self._has_unreported_changes = True
--- a/packages/mulberryloom-agent/tests/test_worker_supervisor.py
+++ b/packages/mulberryloom-agent/tests/test_worker_supervisor.py
@@ -373,6 +373,21 @@
     assert not agent.has_reported(1)
 
 
+# Guards against a start after the task was done: the worker refuses the
+# repetition of a call that it has carried out to the end.
+def test_superseded_start_is_reported_until_the_lists_show_its_end():
+    agent = Agent()
+    (hold,) = agent.calls()
+    agent.order(starts=[START])
+    (start,) = agent.calls(worker_calls.StartCall)
+    reply = worker_calls.CallReply(worker_calls.CallStatus.SUPERSEDED)
+    agent.supervisor.on_start_reply(start, reply, agent.now_ms)
+    agent.supervisor.on_hold_reply(
+        hold, _hold_reply(agent.now_ms), agent.now_ms
+    )
+    assert agent.has_reported(1)
+
+
 # Guards against two runs of one task: a restarted worker knows nothing of the
 # runs that ended before, and may be reached by a start call of before.
 def test_restarted_worker_is_told_to_stop_runs_whose_start_calls_are_open():
