Bound the stops that an agent sends by itself, and spare begun runs

No call can be carried out after its deadline, so that the stop is dropped then. A restarted agent stopped a run of which it had not read the lists yet, although it was at work; such stops wait for the lists, and are dropped if these show the run. After a suspension the lists are asked for without waiting for an end, so that they arrive before the lease counts as expired.

--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
@@ -97,6 +97,20 @@
     unanswered_attempts: int = 0
 
 
+@dataclasses.dataclass(slots=True)
+class _PendingStop(_PendingOrder):
+    """A stop whose outcome is not known.
+
+    :param expires_ms: time from which the run cannot start any more without
+        the stop; ``None`` if the leader has ordered the stop.
+    :param spares_listed_run: whether the stop waits for the lists, and is
+        dropped if they show that the run was begun.
+    """
+
+    expires_ms: int | None = None
+    spares_listed_run: bool = False
+
+
 @dataclasses.dataclass(slots=True)
 class _PendingStart(_PendingOrder):
     """A start whose outcome is not known.
@@ -142,7 +156,7 @@
         #: under the leader that is followed.
         self._has_current_lists = False
         self._pending_start_by_key: dict[RunKey, _PendingStart] = {}
-        self._pending_stop_by_key: dict[RunKey, _PendingOrder] = {}
+        self._pending_stop_by_key: dict[RunKey, _PendingStop] = {}
         #: When a start call without a reply can reach no worker any more, by
         #: the run that it starts.
         self._open_start_end_ms_by_key: dict[RunKey, int] = {}
@@ -276,7 +290,9 @@
         end_ms_by_key = self._open_start_end_ms_by_key
         for key, end_ms in list(end_ms_by_key.items()):
             if end_ms > now_ms:
-                self._stop_run(key, now_ms)
+                self._pending_stop_by_key[key] = _PendingStop(
+                    next_attempt_ms=now_ms, expires_ms=end_ms
+                )
             else:
                 del end_ms_by_key[key]
 
@@ -383,14 +399,17 @@
         """Do not send a start that was ordered."""
         task, run_number = key
         _log.info('start refused', task=task, run=run_number, reason=reason)
-        is_listed = key in _run_keys(self._running)
-        if self._may_predecessor_have_calls(now_ms) and not is_listed:
-            self._stop_run(key, now_ms)
+        if self._may_predecessor_have_calls(now_ms):
+            self._stop_unless_listed(key, now_ms)
 
     def _on_stop_ordered(self, run: messages.RunRef, now_ms: int) -> None:
         key = (run.task, run.run_number)
         self._pending_start_by_key.pop(key, None)
-        self._stop_run(key, now_ms)
+        pending = self._pending_stop_by_key.setdefault(
+            key, _PendingStop(next_attempt_ms=now_ms)
+        )
+        pending.expires_ms = None
+        pending.spares_listed_run = False
 
     def _abandon_unsent_starts(self, now_ms: int) -> None:
         """Abandon starts that this process has not sent to the worker."""
@@ -408,7 +427,7 @@
         self._has_unreported_changes = True
         is_call_open = pending.is_in_flight or pending.unanswered_attempts
         if is_call_open or self._may_predecessor_have_calls(now_ms):
-            self._stop_run(key, now_ms)
+            self._stop_unless_listed(key, now_ms)
 
     def _may_predecessor_have_calls(self, now_ms: int) -> bool:
         """Whether the worker may carry out calls of an earlier process.
@@ -418,9 +437,24 @@
         """
         return now_ms < self._predecessor_calls_end_ms
 
-    def _stop_run(self, key: RunKey, now_ms: int) -> None:
+    def _stop_unless_listed(self, key: RunKey, now_ms: int) -> None:
+        """Stop a run that the leader has ordered to start.
+
+        It is not stopped if the worker has begun it by then. All deadlines
+        of its start calls lie within the lease.
+        """
+        if key in _run_keys(self._running):
+            return
         self._pending_stop_by_key.setdefault(
-            key, _PendingOrder(next_attempt_ms=now_ms)
+            key,
+            _PendingStop(
+                next_attempt_ms=now_ms,
+                expires_ms=max(
+                    self._lease_end_ms + self._options.lease_slack_ms,
+                    self._predecessor_calls_end_ms,
+                ),
+                spares_listed_run=True,
+            ),
         )
 
     # Replies of the worker
@@ -509,6 +543,10 @@
             if key in listed or key in ended:
                 del self._pending_start_by_key[key]
                 self._confirming_hold_id_by_key[key] = self._last_hold_id + 1
+        for key, pending in list(self._pending_stop_by_key.items()):
+            is_unsent = not pending.attempts
+            if pending.spares_listed_run and is_unsent and key in listed:
+                del self._pending_stop_by_key[key]
 
     def on_start_reply(
         self,
@@ -591,6 +629,7 @@
         if self.info is None or not self.generation or self._has_left:
             return []
         self._abandon_expired_starts(now_ms)
+        self._drop_expired_stops(now_ms)
         calls: list[Call] = []
         if self._is_hold_due(now_ms):
             calls.append(self._make_hold_call(now_ms))
@@ -609,6 +648,8 @@
                     )
                 )
         for key, pending in self._pending_stop_by_key.items():
+            if pending.spares_listed_run and not self._has_current_lists:
+                continue
             if not pending.is_in_flight and pending.next_attempt_ms <= now_ms:
                 self._mark_sent(pending)
                 run = messages.RunRef(*key)
@@ -622,6 +663,13 @@
             if pending.expires_ms <= now_ms:
                 self._abandon_start(key, now_ms)
 
+    def _drop_expired_stops(self, now_ms: int) -> None:
+        """Drop stops of runs that cannot start any more."""
+        for key, pending in list(self._pending_stop_by_key.items()):
+            if pending.expires_ms is not None and pending.expires_ms <= now_ms:
+                del self._pending_stop_by_key[key]
+                self._has_unreported_changes = True
+
     @staticmethod
     def _mark_sent(pending: _PendingOrder) -> None:
         pending.is_in_flight = True
@@ -649,9 +697,9 @@
         assert self.info is not None
         self._last_hold_id += 1
         self._hold_sent_ms_by_id[self._last_hold_id] = now_ms
-        is_first = not self._has_current_lists
         is_immediate = (
-            is_first
+            not self._has_current_lists
+            or self._clock_offset_ms is None
             or self._confirming_hold_id_by_key
             or self._has_unacknowledged_ends()
         )
--- a/packages/mulberryloom-agent/tests/test_worker_supervisor.py
+++ b/packages/mulberryloom-agent/tests/test_worker_supervisor.py
@@ -388,6 +388,40 @@
     assert agent.has_reported(1)
 
 
+def test_stop_of_a_refused_start_is_dropped_once_no_call_can_be_carried_out():
+    agent = Agent()
+    agent.order(starts=[START])
+    (start,) = agent.calls(worker_calls.StartCall)
+    refused = worker_calls.CallReply(worker_calls.CallStatus.UNHEALTHY)
+    agent.supervisor.on_start_reply(start, refused, agent.now_ms)
+    (stop,) = agent.calls(worker_calls.StopCall)
+    agent.supervisor.on_stop_reply(stop, refused, agent.now_ms)
+    agent.now_ms += 6_300
+    assert len(agent.calls(worker_calls.StopCall)) == 1
+    agent.now_ms += 200
+    agent.supervisor.due_calls(agent.now_ms)
+    assert not agent.has_reported(1)
+
+
+def test_restarted_agent_stops_no_run_that_its_worker_has_begun():
+    agent = Agent()
+    agent.supervisor.on_heartbeat(_info(boot=2), agent.now_ms)
+    agent.supervisor.on_heartbeat(
+        _info(boot=2, sequence=2, is_draining=True), agent.now_ms
+    )
+    agent.supervisor.on_orders(
+        messages.WorkerOrders(
+            GENERATION, 1, 'w', 2, agent.now_ms, 0, [START], []
+        ),
+        agent.now_ms,
+    )
+    (hold,) = agent.supervisor.due_calls(agent.now_ms)
+    agent.supervisor.on_hold_reply(
+        hold, _hold_reply(agent.now_ms, [1], boot=2), agent.now_ms
+    )
+    assert agent.calls(worker_calls.StopCall) == []
+
+
 # Guards against two runs of one task: a restarted worker knows nothing of the
 # runs that ended before, and may be reached by a start call of before.
 def test_restarted_worker_is_told_to_stop_runs_whose_start_calls_are_open():
