Simulate lost replies of workers, and check ends acknowledged later

The simulation delayed calls to workers or answered them, but never carried one out at once and lost the reply, and its oracle looked only at starts after an acknowledged end, although an end that is acknowledged after the start counts as well. Seeds of fewer kinds of events keep their sequence of random choices.

--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/oracle.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/oracle.py
@@ -31,6 +31,9 @@
         self._acknowledged_failures: collections.Counter[str] = (
             collections.Counter()
         )
+        # Last start after a success that was not acknowledged yet, by task:
+        # number of the run and where it started.
+        self._start_after_done: dict[str, tuple[int, str]] = {}
         # (worker, boot, sequence) of the ends that were taken into account.
         self._counted_ends: set[tuple[str, int, int]] = set()
 
@@ -47,6 +50,8 @@
             raise Violation(f'{where}: job {job_id} was never submitted')
         if run.task in self._acknowledged_done:
             raise Violation(f'{where}: started after the task was done')
+        if run.task in self.done_tasks:
+            self._start_after_done[run.task] = run.number, where
         if self._acknowledged_failures[run.task] >= self.max_attempts:
             raise Violation(
                 f'{where}: started after {self.max_attempts} failed attempts'
@@ -118,6 +123,12 @@
                 continue
             if end.how == jobs.RunEnd.DONE.value:
                 self._acknowledged_done.add(end.task)
+                number, where = self._start_after_done.get(end.task, (0, ''))
+                if end.run_number < number:
+                    raise Violation(
+                        f'{where}: started after run {end.run_number} was '
+                        'done, which was acknowledged later'
+                    )
             elif end.how == jobs.RunEnd.FAILED.value:
                 self._acknowledged_failures[end.task] += 1
 
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/trials.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/trials.py
@@ -12,6 +12,8 @@
 #: Number of kinds of events. The last ones end the ongoing faults.
 EVENT_KINDS = 18
 _RECOVERY_EVENT_KINDS = 2
+#: Number of kinds of events up to which all replies of workers arrive.
+_KINDS_WITHOUT_LOST_CALL_REPLIES = 14
 
 
 def run_trial(seed: int, event_kinds: int = EVENT_KINDS) -> worlds.World:
@@ -28,6 +30,9 @@
             lost_reply_share=0.05,
             late_call_share=0.04,
             failing_task_share=0.05,
+            lost_call_reply_share=(
+                0.04 if event_kinds > _KINDS_WITHOUT_LOST_CALL_REPLIES else 0
+            ),
         ),
     )
     count = 0
@@ -134,5 +139,6 @@
     _end_ongoing_faults(world)
     world.faults.lost_reply_share = 0.0
     world.faults.late_call_share = 0.0
+    world.faults.lost_call_reply_share = 0.0
     if world.entry.is_dead:
         world.take_over()
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/world.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/world.py
@@ -41,12 +41,15 @@
     :param lost_reply_share: writes to the store whose reply is lost.
     :param late_call_share: calls to workers that time out and are executed
         2 to 12 seconds after they were sent.
+    :param lost_call_reply_share: calls to workers that are executed at once
+        and time out.
     :param failing_task_share: tasks whose runs all fail because of the task
         itself.
     """
 
     lost_reply_share: float = 0.0
     late_call_share: float = 0.0
+    lost_call_reply_share: float = 0.0
     failing_task_share: float = 0.0
 
 
@@ -492,9 +495,16 @@
         if self.random.random() < self.faults.late_call_share:
             self._after(self.random.randrange(2_000, 12_000), execute)
             self._after(_CALL_TIMEOUT_MS, time_out)
+        elif self._is_call_reply_lost():
+            self._after(self.random.randrange(1, 20), execute)
+            self._after(_CALL_TIMEOUT_MS, time_out)
         else:
             self._after(self.random.randrange(1, 20), execute_and_reply)
 
+    def _is_call_reply_lost(self) -> bool:
+        share = self.faults.lost_call_reply_share
+        return share > 0 and self.random.random() < share
+
     def _is_shed(
         self, worker: workers.WorkerStandIn, call: worker_supervisor.Call
     ) -> bool:
--- a/packages/mulberryloom-standins/tests/test_job_simulation.py
+++ b/packages/mulberryloom-standins/tests/test_job_simulation.py
@@ -193,6 +193,20 @@
     world.run(40_000)
 
 
+# Guards against a start after the task was done: a worker refuses the
+# repetition of a start call whose run has ended already.
+@pytest.mark.parametrize('seed', range(4))
+def test_start_whose_reply_is_lost_starts_no_done_task(seed):
+    world = worlds.World(seed, worlds.Faults(lost_call_reply_share=0.3))
+    world.run(1_500)
+    for number in range(12):
+        world.submit(f'{number:016x}', (_step(4),), duration_ms=200)
+        world.run(500)
+    world.faults.lost_call_reply_share = 0.0
+    world.run(20_000)
+    world.check_all_ended()
+
+
 # Guards against two runs of one task: the notice that a worker leaves arrives
 # after the worker has started again under its name.
 def test_late_notice_of_leave_starts_no_task_twice():
