Drop the stop of a run that neither runs nor can start any more

A stop that the leader ordered was repeated until the worker carried it out. The stop is now dropped once current lists lack the run and no start call of it can be carried out any more. A run that is listed is never given up. Tests: the first failed before.

--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
@@ -101,13 +101,12 @@
 class _PendingStop(_PendingOrder):
     """A stop whose outcome is not known.
 
-    :param expires_ms: time from which the run cannot start any more without
-        the stop; ``None`` if the leader has ordered the stop.
+    :param expires_ms: time from which no call can start the run any more.
     :param spares_listed_run: whether the stop waits for the lists, and is
         dropped if they show that the run was begun.
     """
 
-    expires_ms: int | None = None
+    expires_ms: int = 0
     spares_listed_run: bool = False
 
 
@@ -396,7 +395,7 @@
         pending = self._pending_stop_by_key.setdefault(
             key, _PendingStop(next_attempt_ms=now_ms)
         )
-        pending.expires_ms = None
+        pending.expires_ms = now_ms + self._options.order_ttl_ms
         pending.spares_listed_run = False
 
     def _abandon_unsent_starts(self, now_ms: int) -> None:
@@ -428,8 +427,7 @@
     def _stop_unless_listed(self, key: RunKey, now_ms: int) -> None:
         """Stop a run that the leader has ordered to start.
 
-        It is not stopped if the worker has begun it by then. All deadlines
-        of its start calls lie within the lease.
+        It goes on if the worker lists it as running before the stop is sent.
         """
         if key in _run_keys(self._running):
             return
@@ -437,6 +435,7 @@
             key,
             _PendingStop(
                 next_attempt_ms=now_ms,
+                # The deadlines of all start calls lie within the lease.
                 expires_ms=max(
                     self._lease_end_ms + self._options.lease_slack_ms,
                     self._predecessor_calls_end_ms,
@@ -654,12 +653,15 @@
                 self._abandon_start(key, now_ms)
 
     def _drop_expired_stops(self, now_ms: int) -> None:
-        """Drop stops of runs that cannot start any more."""
+        """Drop stops of runs that neither run nor can start any more."""
         for key, end_ms in list(self._start_ttl_end_ms_by_key.items()):
             if end_ms <= now_ms:
                 del self._start_ttl_end_ms_by_key[key]
+        if not self._has_current_lists:
+            return
+        running = _run_keys(self._running)
         for key, pending in list(self._pending_stop_by_key.items()):
-            if pending.expires_ms is not None and pending.expires_ms <= now_ms:
+            if pending.expires_ms <= now_ms and key not in running:
                 del self._pending_stop_by_key[key]
                 self._has_unreported_changes = True
 
--- a/packages/mulberryloom-agent/tests/test_worker_supervisor.py
+++ b/packages/mulberryloom-agent/tests/test_worker_supervisor.py
@@ -403,6 +403,36 @@
     assert not agent.has_reported(1)
 
 
+def test_ordered_stop_of_a_run_that_cannot_start_any_more_is_dropped():
+    """The worker answers holds, lists nothing and refuses every stop."""
+    agent = Agent()
+    agent.order(stops=[messages.RunRef(START.task, 1)])
+    refused = worker_calls.CallReply(worker_calls.CallStatus.UNHEALTHY)
+    for _ in range(160):
+        for call in agent.supervisor.due_calls(agent.now_ms):
+            if isinstance(call, worker_calls.StopCall):
+                agent.supervisor.on_stop_reply(call, refused, agent.now_ms)
+            else:
+                agent.supervisor.on_hold_reply(
+                    call, _hold_reply(agent.now_ms), agent.now_ms
+                )
+        agent.now_ms += 100
+    assert not agent.has_reported(1)
+
+
+def test_ordered_stop_of_a_running_run_is_never_dropped():
+    agent = Agent()
+    agent.order(stops=[messages.RunRef(START.task, 1)])
+    for _ in range(160):
+        for call in agent.calls():
+            agent.supervisor.on_hold_reply(
+                call, _hold_reply(agent.now_ms, [1]), agent.now_ms
+            )
+        agent.now_ms += 100
+    report = agent.supervisor.take_report(agent.now_ms)
+    assert messages.RunRef(START.task, 1) in report.starting
+
+
 def test_restarted_agent_stops_no_run_that_its_worker_has_begun():
     agent = Agent()
     agent.supervisor.on_heartbeat(_info(boot=2), agent.now_ms)
