--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
@@ -53,8 +53,8 @@
     :param order_ttl_ms: time for which a start call may still reach a worker
         that has restarted under its name; equals the leader's option.
     :param report_interval_ms: interval between reports without changes.
-    :param suspension_ms: gap between two rounds of calls from which the
-        agent counts as having been suspended.
+    :param suspension_ms: gap between two replies or rounds of calls from
+        which the agent counts as having been suspended.
     :param resumption_ms: time after a suspension in which the worker may
         reply before its lease counts as expired.
     """
@@ -183,7 +183,7 @@
         self._has_left = False
         #: Whether the last report said that runs may go on.
         self._could_run = True
-        self._last_round_ms = now_ms
+        self._last_active_ms = now_ms
         self._resumed_ms = now_ms - options.resumption_ms
         self._report_due_ms = now_ms
         self._has_unreported_changes = True
@@ -457,6 +457,7 @@
         A reply that is older than an applied one is ignored, since replies
         can arrive out of order.
         """
+        self._detect_suspension(now_ms)
         if self._hold_sent_ms_by_id.pop(call.call_id, None) is None:
             return
         if self.info is None:
@@ -600,18 +601,7 @@
 
     def due_calls(self, now_ms: int) -> list[Call]:
         """Return the calls to the worker that are due."""
-        if now_ms - self._last_round_ms >= self._options.suspension_ms:
-            self._resumed_ms = now_ms
-            _log.warning(
-                'agent was suspended',
-                duration_ms=now_ms - self._last_round_ms,
-                running=len(self._running),
-            )
-            # The worker's clock may have stood still meanwhile, and deadlines
-            # by the old offset would lie too far ahead.
-            self._clock_offset_ms = None
-            self._hold_due_ms = now_ms
-        self._last_round_ms = now_ms
+        self._detect_suspension(now_ms)
         if self.info is None or not self.generation or self._has_left:
             return []
         self._abandon_expired_starts(now_ms)
@@ -647,6 +637,22 @@
                 )
         return calls
 
+    def _detect_suspension(self, now_ms: int) -> None:
+        duration_ms = now_ms - self._last_active_ms
+        self._last_active_ms = now_ms
+        if duration_ms < self._options.suspension_ms:
+            return
+        _log.warning(
+            'agent was suspended',
+            duration_ms=duration_ms,
+            running=len(self._running),
+        )
+        self._resumed_ms = now_ms
+        # The worker's clock may have stood still meanwhile, and deadlines by
+        # the old offset would lie too far ahead.
+        self._clock_offset_ms = None
+        self._hold_due_ms = now_ms
+
     def _abandon_expired_starts(self, now_ms: int) -> None:
         for key, pending in list(self._pending_start_by_key.items()):
             if pending.expires_ms <= now_ms:
--- a/packages/mulberryloom-agent/tests/test_worker_supervisor.py
+++ b/packages/mulberryloom-agent/tests/test_worker_supervisor.py
@@ -313,6 +313,29 @@
     assert start.deadline_ms == worker_clock_ms + 6_000
 
 
+def test_agent_with_slow_rounds_renews_the_lease():
+    """A reply that is handled after the pause tells the clock anew."""
+    agent = Agent()
+    for _ in range(4):
+        agent.now_ms += 1_200
+        agent.order()
+        for call in agent.calls():
+            agent.supervisor.on_hold_reply(
+                call, _hold_reply(agent.now_ms), agent.now_ms
+            )
+        (hold,) = agent.calls()
+        agent.now_ms += 1_200
+        agent.order()
+        agent.supervisor.on_hold_reply(
+            hold, _hold_reply(agent.now_ms), agent.now_ms
+        )
+        (hold,) = agent.calls()
+        assert hold.deadline_ms == agent.now_ms + 6_000
+        agent.supervisor.on_hold_reply(
+            hold, _hold_reply(agent.now_ms), agent.now_ms
+        )
+
+
 def test_resumed_agent_reports_expiry_of_a_silent_worker():
     agent = Agent()
     agent.order(starts=[START])
