Let the incarnation that answers be current, whatever was replaced

A delayed heartbeat of a dead incarnation with a later date displaced the live one, whose heartbeats were refused from then on; and one reply of another worker at the address was remembered for ever, so that a delayed heartbeat could displace the live worker much later. The incarnation that answers the calls is now taken even if it was replaced before, and an answered call forgets the other worker.

--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
@@ -226,13 +226,13 @@
         """
         if _incarnation(info) == _incarnation(previous):
             return info.sequence > previous.sequence
+        is_same_worker = info.worker == previous.worker
+        if is_same_worker and info.boot == self._last_reply_boot:
+            return True
         if _incarnation(info) in self._earlier_incarnations:
             return False
-        if info.boot >= previous.boot:
-            return True
-        if info.worker == previous.worker:
-            return info.boot == self._last_reply_boot
-        return self._is_replaced
+        is_replacement = self._is_replaced and not is_same_worker
+        return info.boot >= previous.boot or is_replacement
 
     def _on_new_incarnation(
         self, info: worker_calls.WorkerInfo, now_ms: int
@@ -242,6 +242,7 @@
             self._earlier_incarnations.add(_incarnation(self.info))
         is_restarted = self.info and self.info.worker == info.worker
         self._is_replaced = False
+        self._last_reply_boot = 0
         _log.info(
             'new worker incarnation',
             worker=info.worker,
@@ -466,6 +467,7 @@
             self._on_hold_failed(call, reply, now_ms)
             return
         self._last_reply_ms = now_ms
+        self._is_replaced = False
         if reply.clock_ms:
             self._clock_offset_ms = reply.clock_ms - now_ms
         self._last_reply_boot = reply.boot or self.info.boot
--- a/packages/mulberryloom-agent/tests/test_worker_supervisor.py
+++ b/packages/mulberryloom-agent/tests/test_worker_supervisor.py
@@ -234,6 +234,18 @@
     assert agent.supervisor.info.boot == 5
 
 
+def test_delayed_heartbeat_of_a_dead_incarnation_does_not_displace_the_live():
+    agent = Agent()
+    agent.supervisor.on_heartbeat(_info(boot=5), agent.now_ms)
+    agent.supervisor.on_heartbeat(_info(boot=9), agent.now_ms)
+    (hold,) = agent.calls()
+    agent.supervisor.on_hold_reply(
+        hold, _hold_reply(agent.now_ms, boot=5), agent.now_ms
+    )
+    agent.supervisor.on_heartbeat(_info(boot=5, sequence=2), agent.now_ms)
+    assert agent.supervisor.info.boot == 5
+
+
 def test_lease_is_renewed_only_while_leadership_is_confirmed():
     agent = Agent()
     agent.order()
