Let a notice of leave neither drain a worker nor refuse its starts

The notice now says only how to read a refused connection: the worker is gone. A worker that leaves as planned drains by its heartbeats before.

--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
@@ -300,9 +300,7 @@
             running=len(self._running),
         )
         self._is_leaving = True
-        self._abandon_unsent_starts(now_ms)
         self._hold_due_ms = now_ms
-        self._has_unreported_changes = True
 
     def follow(self, generation: int, now_ms: int) -> bool:
         """Switch to a leader of a higher generation.
@@ -373,7 +371,7 @@
             or key in self._pending_stop_by_key
         ):
             return
-        if self.info.is_draining or self._is_leaving:
+        if self.info.is_draining or self._has_left:
             self._refuse_start(key, 'draining', now_ms)
             return
         if expires_ms <= now_ms:
@@ -828,7 +826,7 @@
             info.cpu_millis,
             info.memory_mb,
             info.accelerators,
-            info.is_draining or self._is_leaving,
+            info.is_draining,
             info.remaining_ms,
             self.generation,
             self._orders_sequence,
