Drop a stop only by lists that were requested after its expiry

Found in the read-through: a late start may be carried out after the last lists were read and before its deadline. Lists that lack the run prove that it does not run only if they were requested when no call could start it any more. Otherwise an agent whose holds are carried out without replies would report the run as gone while it goes on.

--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
@@ -21,6 +21,8 @@
 )
 #: Task name and run number.
 RunKey: t.TypeAlias = tuple[str, int]
+#: Worker name and start time of an incarnation.
+IncarnationKey: t.TypeAlias = tuple[str, int]
 #: Outcomes of a start call that hold for every call that starts the run:
 #: calls that the worker carries out later have the same outcome.
 _FINAL_START_STATUSES = frozenset(
@@ -87,14 +89,11 @@
     :param is_in_flight: whether a call has been sent and not returned.
     :param next_attempt_ms: earliest time of the next call.
     :param attempts: number of calls so far.
-    :param unanswered_attempts: number of earlier calls without a reply,
-        which the worker may still carry out.
     """
 
     is_in_flight: bool = False
     next_attempt_ms: int = 0
     attempts: int = 0
-    unanswered_attempts: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -115,9 +114,12 @@
     """A start whose outcome is not known.
 
     :param expires_ms: time after which it must not be sent any more.
+    :param unanswered_attempts: number of earlier calls without a reply,
+        which the worker may still carry out.
     """
 
     expires_ms: int = 0
+    unanswered_attempts: int = 0
     start: messages.StartRun = dataclasses.field(
         default_factory=lambda: messages.StartRun('', 0, '', '')
     )
@@ -148,9 +150,11 @@
         self._last_reply_boot = 0
         #: Whether another worker answered the last hold call.
         self._is_replaced = False
-        self._earlier_incarnations: set[tuple[str, int]] = set()
+        self._earlier_incarnations: set[IncarnationKey] = set()
         self._running: tuple[messages.RunningTask, ...] = ()
         self._ended: tuple[messages.EndedTask, ...] = ()
+        #: When the call was sent that returned the lists.
+        self._lists_requested_ms = 0
         #: Whether the lists were read from this incarnation of the worker
         #: under the leader that is followed.
         self._has_current_lists = False
@@ -172,8 +176,7 @@
         # An earlier process of this agent may have renewed the lease for
         # its full duration just before.
         self._lease_end_ms = now_ms + options.lease_ms
-        #: Time after which the worker carries out no call of an earlier
-        #: process any more.
+        #: Time from which the worker carries out no call of that process.
         self._predecessor_calls_end_ms = (
             self._lease_end_ms + options.lease_slack_ms
         )
@@ -382,7 +385,11 @@
         )
 
     def _refuse_start(self, key: RunKey, reason: str, now_ms: int) -> None:
-        """Do not send a start that was ordered."""
+        """Do not send a start that was ordered.
+
+        An earlier process of the agent may have sent it, so that its run is
+        stopped.
+        """
         task, run_number = key
         _log.info('start refused', task=task, run=run_number, reason=reason)
         if self._may_predecessor_have_calls(now_ms):
@@ -406,8 +413,8 @@
     def _abandon_start(self, key: RunKey, now_ms: int) -> None:
         """Do not send a start any more.
 
-        The run is stopped if the worker may still carry out a call without
-        a reply, until when the reports name it.
+        If the worker may still carry out a call without a reply, the run is
+        stopped, and the reports name it until the stop is answered.
         """
         pending = self._pending_start_by_key.pop(key)
         self._has_unreported_changes = True
@@ -457,7 +464,8 @@
         can arrive out of order.
         """
         self._detect_suspension(now_ms)
-        if self._hold_sent_ms_by_id.pop(call.call_id, None) is None:
+        sent_ms = self._hold_sent_ms_by_id.pop(call.call_id, None)
+        if sent_ms is None:
             return
         if self.info is None:
             return
@@ -488,6 +496,7 @@
             self._has_unreported_changes = True
         self._running = reply.running
         self._ended = reply.ended
+        self._lists_requested_ms = sent_ms
         self._has_current_lists = True
         self._resolve_listed_starts()
         if self._has_unacknowledged_ends():
@@ -667,7 +676,8 @@
             return
         running = _run_keys(self._running)
         for key, pending in list(self._pending_stop_by_key.items()):
-            if pending.expires_ms <= now_ms and key not in running:
+            is_expired = pending.expires_ms <= self._lists_requested_ms
+            if is_expired and key not in running:
                 del self._pending_stop_by_key[key]
                 self._has_unreported_changes = True
 
@@ -843,8 +853,7 @@
         )
 
 
-def _incarnation(info: worker_calls.WorkerInfo) -> tuple[str, int]:
-    """Return the key of an incarnation: worker name and start time."""
+def _incarnation(info: worker_calls.WorkerInfo) -> IncarnationKey:
     return info.worker, info.boot
 
 
--- a/packages/mulberryloom-agent/tests/test_worker_supervisor.py
+++ b/packages/mulberryloom-agent/tests/test_worker_supervisor.py
@@ -429,7 +429,9 @@
     assert agent.has_reported(1)
 
 
-def test_stop_of_a_refused_start_is_dropped_once_no_call_can_be_carried_out():
+# Guards against two runs of one task: the late call may have been carried out
+# after the last lists were read.
+def test_stop_of_a_refused_start_is_kept_until_later_lists_lack_the_run():
     agent = Agent()
     agent.order(starts=[START])
     (start,) = agent.calls(worker_calls.StartCall)
@@ -438,9 +440,19 @@
     (stop,) = agent.calls(worker_calls.StopCall)
     agent.supervisor.on_stop_reply(stop, refused, agent.now_ms)
     agent.now_ms += 6_300
-    assert len(agent.calls(worker_calls.StopCall)) == 1
+    hold, stop = agent.supervisor.due_calls(agent.now_ms)
+    agent.supervisor.on_stop_reply(stop, refused, agent.now_ms)
     agent.now_ms += 200
-    agent.supervisor.due_calls(agent.now_ms)
+    agent.supervisor.on_hold_reply(
+        hold, _hold_reply(agent.now_ms), agent.now_ms
+    )
+    (hold,) = agent.calls()
+    report = agent.supervisor.take_report(agent.now_ms)
+    assert report.starting == [messages.RunRef(START.task, 1)]
+    agent.supervisor.on_hold_reply(
+        hold, _hold_reply(agent.now_ms), agent.now_ms
+    )
+    assert agent.calls(worker_calls.StopCall) == []
     assert not agent.has_reported(1)
 
 
