--- a/packages/mulberryloom-agent/tests/test_worker_supervisor.py
+++ b/packages/mulberryloom-agent/tests/test_worker_supervisor.py
@@ -434,10 +434,16 @@
 def test_stop_of_a_refused_start_is_kept_until_later_lists_lack_the_run():
     agent = Agent()
     agent.order(starts=[START])
-    (start,) = agent.calls(worker_calls.StartCall)
+    hold, start = agent.supervisor.due_calls(agent.now_ms)
+    agent.supervisor.on_hold_reply(
+        hold, _hold_reply(agent.now_ms), agent.now_ms
+    )
     refused = worker_calls.CallReply(worker_calls.CallStatus.UNHEALTHY)
     agent.supervisor.on_start_reply(start, refused, agent.now_ms)
-    (stop,) = agent.calls(worker_calls.StopCall)
+    hold, stop = agent.supervisor.due_calls(agent.now_ms)
+    agent.supervisor.on_hold_reply(
+        hold, _hold_reply(agent.now_ms), agent.now_ms
+    )
     agent.supervisor.on_stop_reply(stop, refused, agent.now_ms)
     agent.now_ms += 6_300
     hold, stop = agent.supervisor.due_calls(agent.now_ms)
