Spare gang members that wait for the slowest one

Cause: the members of a gang end together, so that the first one to finish stands at 100 percent until the slowest is done. The check for stalled runs looked at each run alone: after about 3 s it stopped such a gang whole, its work was repeated, and the worker of the finished member was kept out of new work as failing. A member whose siblings had not started yet was judged in the same way. The expected end of a finished member was 'now', so that reservations and drains counted on capacity that was not about to be free.

Change: a run that waits for members of its gang does not count as stalled, and a run is expected to end with the slowest member of its gang. The module on runs that leave draining workers is renamed from evacuation to relocation.

--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
@@ -15,12 +15,13 @@
 from . import valuation
 from .capacity import TaskDemand
 from .capacity import WorkerCapacity
-from .evacuation import Evacuation
+from .gangs import GangRuns
 from .options import PlanOptions
 from .plan import Plan
 from .plan import Start
 from .plan import Stop
 from .preemption import PreemptionPlanner
+from .relocation import Relocation
 from .reservation import Reservation
 from .reservation import ReservationFinder
 from .round_state import Backfill
@@ -40,10 +41,13 @@
 
     def __init__(self, options: PlanOptions) -> None:
         self._options = options
-        self._estimator = valuation.Estimator(options)
+        self._gang_runs = GangRuns()
+        self._estimator = valuation.Estimator(options, self._gang_runs)
         self._preemption_planner = PreemptionPlanner(options, self._estimator)
         self._reservation_finder = ReservationFinder(self._estimator)
-        self._evacuation = Evacuation(options, self._estimator)
+        self._relocation = Relocation(
+            options, self._estimator, self._gang_runs
+        )
         self._urgent_load = UrgentLoad(options)
         # By id of the job, repetition and index of the step.
         self._pending_since_by_step: dict[tuple[str, int, int], int] = {}
@@ -77,6 +81,7 @@
             start tasks; ``None`` if all may.
         """
         ordered_jobs = list(open_jobs)
+        self._gang_runs.begin_round(workers)
         self._estimator.begin_round(ordered_jobs, workers)
         self._reservation_finder.begin_round()
         for worker in workers:
@@ -103,7 +108,7 @@
             max_priority,
             other_capacity,
         )
-        for run, reason in self._evacuation.runs_to_stop(workers, now_ms):
+        for run, reason in self._relocation.runs_to_stop(workers, now_ms):
             state.plan.stops.append(Stop(run, reason))
         self._preemption_planner.begin_round(
             stop.run for stop in state.plan.stops
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/evacuation.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/relocation.py
@@ -2,6 +2,7 @@
 
 import typing as t
 
+from . import gangs
 from . import health
 from . import valuation
 from .capacity import ActiveRun
@@ -9,26 +10,32 @@
 from .options import PlanOptions
 
 
-class Evacuation:
+class Relocation:
     """Selects the runs that have to move to another worker.
 
     :param options: limits and cost factors.
     :param estimator: expected durations of runs.
+    :param gang_runs: the active runs of gangs.
     """
 
     def __init__(
-        self, options: PlanOptions, estimator: valuation.Estimator
+        self,
+        options: PlanOptions,
+        estimator: valuation.Estimator,
+        gang_runs: gangs.GangRuns,
     ) -> None:
         self._options = options
         self._estimator = estimator
+        self._gang_runs = gang_runs
 
     def runs_to_stop(
         self, workers: list[WorkerCapacity], now_ms: int
     ) -> t.Iterator[tuple[ActiveRun, str]]:
         """Yield the runs to stop, with the reason for the log.
 
-        A stalled run counts as a failure of its worker. The first word of a
-        reason is the label of a metric.
+        A stalled run counts as a failure of its worker, unless it waits for
+        other members of its gang. The first word of a reason is the label of
+        a metric.
         """
         for worker in workers:
             for run in list(worker.run_by_key.values()):
@@ -37,10 +44,16 @@
                 if worker.is_draining:
                     if self._must_stop(run, worker, now_ms):
                         yield run, 'worker draining'
-                elif health.is_stalled(run, self._options):
+                elif self._is_stalled(run):
                     health.note_failure(worker, now_ms, self._options)
                     yield run, 'no progress'
 
+    def _is_stalled(self, run: ActiveRun) -> bool:
+        if not health.is_stalled(run, self._options):
+            return False
+        members = self._gang_runs.members_of(run)
+        return not gangs.is_waiting_for_members(run, members)
+
     def _must_stop(
         self, run: ActiveRun, worker: WorkerCapacity, now_ms: int
     ) -> bool:
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/valuation.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/valuation.py
@@ -7,8 +7,10 @@
 from mulberryloom_core.request import jobs
 
 from .capacity import ActiveRun
+from .capacity import RunKey
 from .capacity import WorkerCapacity
 from .fleet_shape import FleetShape
+from .gangs import GangRuns
 from .options import PlanOptions
 
 #: Value of a job by its priority, relative to the lowest priority. The
@@ -99,14 +101,17 @@
     """Estimates durations and values of jobs.
 
     :param options: limits and cost factors.
+    :param gang_runs: the active runs of gangs.
     """
 
-    def __init__(self, options: PlanOptions) -> None:
+    def __init__(self, options: PlanOptions, gang_runs: GangRuns) -> None:
         self._options = options
+        self._gang_runs = gang_runs
         self._core_ms_by_id: dict[str, float] = {}
         # Sum of the sizes in core-milliseconds, and number of jobs.
         self._total_and_count_by_queue: dict[str, tuple[float, int]] = {}
         self._deadlines_by_id: dict[str, JobDeadlines] = {}
+        self._gang_remaining_ms_by_run: dict[RunKey, int] = {}
         self._fleet = FleetShape()
 
     def begin_round(
@@ -122,6 +127,7 @@
         :param workers: the fleet.
         """
         self._deadlines_by_id.clear()
+        self._gang_remaining_ms_by_run.clear()
         self._fleet.update(workers)
         core_ms_by_id = {}
         for job in open_jobs:
@@ -173,6 +179,23 @@
     def run_remaining_ms(self, run: ActiveRun, now_ms: int) -> int:
         """Return the expected time until a run ends.
 
+        The members of a gang end together, with the slowest of them.
+        """
+        if not run.step.is_gang:
+            return self._own_remaining_ms(run, now_ms)
+        remaining_ms = self._gang_remaining_ms_by_run.get(run.key)
+        if remaining_ms is None:
+            members = self._gang_runs.members_of(run)
+            remaining_ms = max(
+                self._own_remaining_ms(member, now_ms) for member in members
+            )
+            for member in members:
+                self._gang_remaining_ms_by_run[member.key] = remaining_ms
+        return remaining_ms
+
+    def _own_remaining_ms(self, run: ActiveRun, now_ms: int) -> int:
+        """Return the expected time until a run has done its own work.
+
         Once ``min_reliable_progress`` percent were done under this leader,
         it is extrapolated from them; before, it is computed from the
         declared duration, of which a quarter is expected to remain at
