--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_calls.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_calls.py
@@ -16,6 +16,8 @@
     :param address: ``host:port`` at which the worker accepts calls.
     :param cpu_millis: processors, in thousandths.
     :param remaining_ms: time for which a draining worker stays at least.
+    :param warmup_left_ms: time for which the worker stays slow after its
+        start.
     """
 
     worker: str
@@ -31,6 +33,7 @@
     accelerators: int
     is_draining: bool
     remaining_ms: int
+    warmup_left_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/mulberryloom-core/src/mulberryloom_core/messages.py
+++ b/packages/mulberryloom-core/src/mulberryloom_core/messages.py
@@ -560,6 +560,10 @@
         or its lease may not have expired yet.
     :param remaining_ms: time until a draining worker stops.
     :param starting: runs with a pending start or stop.
+    :param warmup_left_ms: time for which the worker stays slow after its
+        start.
+    :param speed_permille: speed of the VM that a leader has told the agent,
+        in thousandths of the declared speed; ``0`` if it is unknown.
     """
 
     worker: str
@@ -581,6 +585,8 @@
     running: list[RunningTask]
     ended: list[EndedTask]
     starting: list[RunRef]
+    warmup_left_ms: int = 0
+    speed_permille: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -602,6 +608,8 @@
         the leader cannot confirm its leadership.
     :param observed: highest ``EndedTask.sequence`` up to which all ends
         are recorded in the store.
+    :param speed_permille: speed of the VM, which the agent keeps for later
+        leaders; ``0`` if it is unknown.
     """
 
     generation: int
@@ -612,6 +620,7 @@
     observed: int
     starts: list[StartRun]
     stops: list[RunRef]
+    speed_permille: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/mulberryloom-core/src/mulberryloom_core/schema/mulberryloom.capnp
+++ b/packages/mulberryloom-core/src/mulberryloom_core/schema/mulberryloom.capnp
@@ -502,6 +502,8 @@
   running @15 :List(RunningTask);
   ended @16 :List(EndedTask);
   starting @17 :List(RunRef);
+  warmupLeftMs @19 :Int64;
+  speedPermille @20 :Int64;
 }
 
 struct StartRun {
@@ -520,6 +522,7 @@
   observed @5 :Int64;
   starts @6 :List(StartRun);
   stops @7 :List(RunRef);
+  speedPermille @8 :Int64;
 }
 
 struct EntryNotice {
