Tell silent workers from hanging ones, and give hanging ones no urgent work

Cause 1: an agent repeats the last list of a worker that does not answer. The leader took each report for a new list, so that the runs of a worker that was silent for some seconds counted as stalled and were stopped.

Change: reports tell the age of the lists, and the time without progress is that between two lists. A worker none of whose runs progresses for more than a second gets no new tasks while others suffice. An urgent run there counts as stalled once it has stood still as long as its work takes again, at least 1.3 s; others as before.

--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
@@ -850,6 +850,7 @@
                 if end.sequence > self._acknowledged_sequence
             ],
             starting,
+            lists_age_ms=now_ms - self._lists_requested_ms,
         )
 
 
--- a/packages/mulberryloom-agent/tests/test_worker_supervisor.py
+++ b/packages/mulberryloom-agent/tests/test_worker_supervisor.py
@@ -105,6 +105,14 @@
         return any(item.run_number == run for item in items)
 
 
+def test_report_tells_the_age_of_the_lists_of_a_silent_worker():
+    """Without it, a silent worker looks like one without progress."""
+    agent = Agent()
+    agent.now_ms += 2_000
+    report = agent.supervisor.take_report(agent.now_ms)
+    assert report.lists_age_ms == 2_000
+
+
 def test_superseded_orders_start_no_run():
     """The leader already knows from a report that the run did not start."""
     agent = Agent()
--- a/packages/mulberryloom-core/src/mulberryloom_core/messages.py
+++ b/packages/mulberryloom-core/src/mulberryloom_core/messages.py
@@ -564,6 +564,9 @@
         start.
     :param speed_permille: speed of the VM that a leader has told the agent,
         in thousandths of the declared speed; ``0`` if it is unknown.
+    :param lists_age_ms: time since the worker was asked for ``running`` and
+        ``ended``. A worker that does not answer for a while has made no
+        less progress for it.
     """
 
     worker: str
@@ -587,6 +590,7 @@
     starting: list[RunRef]
     warmup_left_ms: int = 0
     speed_permille: int = 0
+    lists_age_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/mulberryloom-core/src/mulberryloom_core/schema/mulberryloom.capnp
+++ b/packages/mulberryloom-core/src/mulberryloom_core/schema/mulberryloom.capnp
@@ -504,6 +504,7 @@
   starting @17 :List(RunRef);
   warmupLeftMs @19 :Int64;
   speedPermille @20 :Int64;
+  listsAgeMs @21 :Int64;
 }
 
 struct StartRun {
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -389,6 +389,7 @@
         now_ms: int,
     ) -> None:
         """Update the listed runs; have those not tracked stopped."""
+        listed_ms = now_ms - report.lists_age_ms
         known_before = set(link.unknown_runs)
         link.unknown_runs.clear()
         for item in report.running:
@@ -409,7 +410,7 @@
                     )
                 continue
             if not run.is_confirmed:
-                run.confirm(item.progress, now_ms)
+                run.confirm(item.progress, listed_ms, now_ms)
                 self._metrics.observe_ms(
                     'start_duration_ms', now_ms - run.started_ms
                 )
@@ -419,10 +420,7 @@
                     run,
                     after_ms=now_ms - run.started_ms,
                 )
-            run.last_listed_ms = now_ms
-            if item.progress > run.progress:
-                run.progress = item.progress
-                run.last_progress_ms = now_ms
+            run.record_listing(item.progress, listed_ms, now_ms)
             if item.checkpoint and item.checkpoint != run.task.checkpoint:
                 self._set_checkpoint(run, item.checkpoint)
                 self._records.mark_checkpointed(run.job.job_id, now_ms)
--- a/packages/mulberryloom-entry/tests/test_job_leader.py
+++ b/packages/mulberryloom-entry/tests/test_job_leader.py
@@ -8,6 +8,7 @@
 from mulberryloom_entry.jobs import keys
 from mulberryloom_entry.jobs import leader as leaders
 from mulberryloom_entry.jobs import record_cache
+import pytest
 
 JOB_ID = 'a' * 16
 TASK = f'{JOB_ID}.0.0.0'
@@ -58,6 +59,7 @@
             ],
             list(found.get('ended', ())),
             [],
+            lists_age_ms=found.get('lists_age_ms', 0),
         )
         self.leader.on_report(node, report, self.now_ms, self.now_ms)
 
@@ -121,6 +123,23 @@
     assert harness.started_runs() == [1]
 
 
+@pytest.mark.parametrize(('is_silent', 'is_stopped'), [(1, 0), (0, 1)])
+def test_run_of_silent_worker_is_not_taken_for_stalled(is_silent, is_stopped):
+    """Agents repeat the last list of a worker that does not answer.
+
+    Its run was stopped for lack of progress, though it went on.
+    """
+    harness = _harness_with_running_job()
+    listed_ms = harness.now_ms
+    stopped = []
+    for _ in range(160):
+        age_ms = (harness.now_ms - listed_ms) * is_silent
+        harness.report(running=[1], sequence=2, lists_age_ms=age_ms)
+        harness.advance()
+        stopped += harness.stopped_runs()
+    assert stopped == [1] * is_stopped
+
+
 def test_new_leader_starts_runs_once_its_workers_have_reported():
     """Once they have reported, the startup wait delays only stops."""
     harness = LeaderHarness()
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/capacity.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/capacity.py
@@ -60,7 +60,11 @@
     :param progress: percentage of the work that is done.
     :param last_progress_ms: time of the last increase of the progress; before
         the first one, of the start or its confirmation.
-    :param last_listed_ms: when the worker last listed it as running.
+    :param last_progress_ms: when the planner learned of its progress.
+    :param last_listed_ms: latest time from which a list of the worker shows
+        it as running. A report may repeat an older list.
+    :param progress_listed_ms: the same for the first list that shows its
+        progress.
     :param base_progress: progress at ``base_ms``; more than 0 if the run
         resumed from a checkpoint or was inherited.
     """
@@ -80,6 +84,7 @@
     progress: int = 0
     last_progress_ms: int = 0
     last_listed_ms: int = 0
+    progress_listed_ms: int = 0
     base_progress: int = 0
 
     #: Time from which on the speed of the run is known.
@@ -94,13 +99,34 @@
         self.key = self.name, self.run.number
         self.base_ms = self.started_ms
 
-    def confirm(self, progress: int, now_ms: int) -> None:
+    @property
+    def unchanged_ms(self) -> int:
+        """Time over which lists of the worker show no progress."""
+        return self.last_listed_ms - self.progress_listed_ms
+
+    def record_listing(
+        self, progress: int, listed_ms: int, now_ms: int
+    ) -> None:
+        """Record that the worker lists the run.
+
+        :param progress: percentage that it lists.
+        :param listed_ms: time from which the list is.
+        """
+        self.last_listed_ms = max(self.last_listed_ms, listed_ms)
+        if progress > self.progress:
+            self.progress = progress
+            self.last_progress_ms = now_ms
+            self.progress_listed_ms = self.last_listed_ms
+
+    def confirm(self, progress: int, listed_ms: int, now_ms: int) -> None:
         """Record that the worker lists the run, for the first time.
 
         :param progress: percentage that it lists.
+        :param listed_ms: time from which the list is.
         """
         self.is_confirmed = True
         self.last_progress_ms = now_ms
+        self.progress_listed_ms = listed_ms
         if self.is_inherited or self.task.checkpoint:
             self.base_progress = progress
             self.base_ms = now_ms
@@ -147,6 +173,7 @@
     :param backoff_until_ms: end of the time without new tasks after
         failures.
     :param failed_ms: monotonic time of the last failure.
+    :param is_unresponsive: whether its runs stand still in this round.
     :param failures: failed runs since the last success of a run that
         started after them.
     :param committed_cpu: CPU capacity committed in this planning round, to
@@ -175,6 +202,7 @@
     backoff_until_ms: int = 0
     failed_ms: int = 0
     failures: int = 0
+    is_unresponsive: bool = False
     committed_cpu: int = 0
     committed_memory: int = 0
     committed_accelerators: int = 0
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/health.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/health.py
@@ -6,6 +6,11 @@
 from .capacity import WorkerCapacity
 from .options import PlanOptions
 
+_COMPLETE_PERCENT = 100
+#: Percentage by which a run should have progressed before it counts as
+#: standing still.
+_PROGRESS_STEPS = 4
+
 
 def note_success(worker: WorkerCapacity, run: ActiveRun) -> None:
     """Record a successful run and end the failure backoff of its worker.
@@ -35,6 +40,45 @@
     )
 
 
+def is_unresponsive(worker: WorkerCapacity, options: PlanOptions) -> bool:
+    """Whether none of a worker's runs progresses, though some should.
+
+    Runs that have finished their own work are not considered, since they may
+    wait for other members of their gang.
+    """
+    has_unchanged_run = False
+    for run in worker.run_by_key.values():
+        if (
+            not run.is_confirmed
+            or run.is_stopping
+            or run.step.is_lasting
+            or run.progress >= _COMPLETE_PERCENT
+        ):
+            continue
+        timeout_ms = options.unresponsive_after_ms
+        if run.unchanged_ms <= timeout_ms:
+            return False
+        timeout_ms += _PROGRESS_STEPS * _ms_per_percent(run, options)
+        if run.unchanged_ms <= timeout_ms:
+            return False
+        has_unchanged_run = True
+    return has_unchanged_run
+
+
+def without_unresponsive(
+    step: jobs.Step, count: int, workers: list[WorkerCapacity]
+) -> list[WorkerCapacity]:
+    """Return the workers on which new tasks are likely to progress.
+
+    :param count: number of tasks that start together.
+    :return: all workers, if the others could not run the tasks even when
+        empty, or are the smaller part.
+    """
+    responsive = [worker for worker in workers if not worker.is_unresponsive]
+    is_enough = _are_enough(step, count, responsive, workers)
+    return responsive if is_enough else workers
+
+
 def without_suspects(
     step: jobs.Step, count: int, workers: list[WorkerCapacity]
 ) -> list[WorkerCapacity]:
@@ -48,30 +92,64 @@
         empty, or are the smaller part: then the tasks are likely at fault.
     """
     reliable = [worker for worker in workers if not worker.failures]
-    fitting = sum(worker.fitting_count_when_empty(step) for worker in reliable)
-    is_enough = fitting >= count and 2 * len(reliable) >= len(workers)
+    is_enough = _are_enough(step, count, reliable, workers)
     return reliable if is_enough else workers
 
 
-def is_stalled(run: ActiveRun, options: PlanOptions) -> bool:
+def _are_enough(
+    step: jobs.Step,
+    count: int,
+    selected: list[WorkerCapacity],
+    workers: list[WorkerCapacity],
+) -> bool:
+    """Whether selected workers suffice for tasks that start together."""
+    if 2 * len(selected) < len(workers):
+        return False
+    fitting = sum(worker.fitting_count_when_empty(step) for worker in selected)
+    return fitting >= count
+
+
+def is_stalled(
+    run: ActiveRun, options: PlanOptions, *, is_worker_unresponsive: bool
+) -> bool:
     """Whether a run has made no progress within its stall timeout.
 
-    The time without progress ends with the last report that listed the
-    run, so that a silent worker does not count as a stall. The timeout
+    The time without progress is that between two lists of the worker, so
+    that a silent worker does not count as a stall. The timeout
     grows by the duration of four percent of the task, since a long task
     reports progress less often. Unconfirmed runs never count as stalled,
     nor do runs that last until their job is cancelled.
+
+    An urgent run on an unresponsive worker waits no longer than it would
+    take to repeat its work, since its job soon completes late otherwise.
     """
     if not run.is_confirmed or run.step.is_lasting:
         return False
+    if run.unchanged_ms <= options.urgent_stall_timeout_ms:
+        return False
+    ms_per_percent = _ms_per_percent(run, options)
+    steps_ms = _PROGRESS_STEPS * ms_per_percent
+    timeout_ms = options.stall_timeout_ms + steps_ms
+    if not run.step.is_checkpointed:
+        # Moving the run would lose its progress, so the timeout grows with
+        # it: by ``stall_timeout_ms`` for each 50 percent.
+        timeout_ms += options.stall_timeout_ms * run.progress // 50
+    if is_worker_unresponsive and run.job.terms.priority == 0:
+        repeated_ms = 0
+        if not run.step.is_checkpointed:
+            repeated_ms = run.progress * ms_per_percent
+        urgent_timeout_ms = steps_ms + max(
+            options.urgent_stall_timeout_ms, repeated_ms
+        )
+        timeout_ms = min(timeout_ms, urgent_timeout_ms)
+    return run.unchanged_ms > timeout_ms
+
+
+def _ms_per_percent(run: ActiveRun, options: PlanOptions) -> int:
+    """Return the time that a run takes for one percent of its work."""
     expected_ms = run.step.estimate_ms or options.default_estimate_ms
     ms_per_percent = expected_ms // 100
     if run.progress:
         elapsed_ms = run.last_progress_ms - run.started_ms
         ms_per_percent = max(ms_per_percent, elapsed_ms // run.progress)
-    timeout_ms = options.stall_timeout_ms + 4 * ms_per_percent
-    if not run.step.is_checkpointed:
-        # Moving the run would lose its progress, so the timeout grows with
-        # it: by ``stall_timeout_ms`` for each 50 percent.
-        timeout_ms += options.stall_timeout_ms * run.progress // 50
-    return run.last_listed_ms - run.last_progress_ms > timeout_ms
+    return ms_per_percent
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/options.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/options.py
@@ -43,6 +43,11 @@
         capacity again.
     :param stall_timeout_ms: minimum time without progress after which a run
         counts as stalled.
+    :param unresponsive_after_ms: minimum time without progress of all of a
+        worker's runs after which it gets no new tasks; longer than the
+        interval between two lists of a worker, 800 ms.
+    :param urgent_stall_timeout_ms: minimum time without progress after which
+        an urgent run on such a worker counts as stalled.
     :param drain_margin_ms: safety margin before a draining worker ends.
     :param max_rack_wait_ms: how long guaranteed work waits for capacity in
         the preferred rack, or for a gang in one rack, before it uses other
@@ -67,6 +72,8 @@
     urgent_preemption_delay_ms: int = 1_200
     restart_wait_ms: int = 2_000
     stall_timeout_ms: int = 2_800
+    unresponsive_after_ms: int = 1_000
+    urgent_stall_timeout_ms: int = 1_300
     drain_margin_ms: int = 500
     max_rack_wait_ms: int = 1_200
     max_reservations: int = 2
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
@@ -232,7 +232,9 @@
                 pending.step, service, state.workers, state.now_ms
             )
             state.eligible_by_demand[key] = eligible
-        return eligible
+        step = pending.step
+        count = len(pending.tasks) if step.is_gang else 1
+        return health.without_unresponsive(step, count, eligible)
 
     def _place_gang(
         self,
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/relocation.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/relocation.py
@@ -31,25 +31,34 @@
     def runs_to_stop(
         self, workers: list[WorkerCapacity], now_ms: int
     ) -> t.Iterator[tuple[ActiveRun, str]]:
-        """Yield the runs to stop, with the reason for the log.
+        """Yield the runs to stop, and note which workers are unresponsive.
+
+        The reason of a stop is for the log.
 
         A stalled run counts as a failure of its worker, unless it waits for
         other members of its gang. The first word of a reason is the label of
         a metric.
         """
         for worker in workers:
+            worker.is_unresponsive = health.is_unresponsive(
+                worker, self._options
+            )
             for run in list(worker.run_by_key.values()):
                 if run.is_stopping or not run.is_recorded:
                     continue
                 if worker.is_draining:
                     if self._must_stop(run, worker, now_ms):
                         yield run, 'worker draining'
-                elif self._is_stalled(run):
+                elif self._is_stalled(run, worker):
                     health.note_failure(worker, now_ms, self._options)
                     yield run, 'no progress'
 
-    def _is_stalled(self, run: ActiveRun) -> bool:
-        if not health.is_stalled(run, self._options):
+    def _is_stalled(self, run: ActiveRun, worker: WorkerCapacity) -> bool:
+        if not health.is_stalled(
+            run,
+            self._options,
+            is_worker_unresponsive=worker.is_unresponsive,
+        ):
             return False
         members = self._gang_runs.members_of(run)
         return not gangs.is_waiting_for_members(run, members)
--- a/packages/mulberryloom-policy/tests/test_job_planner.py
+++ b/packages/mulberryloom-policy/tests/test_job_planner.py
@@ -98,6 +98,7 @@
             is_confirmed=True,
             last_progress_ms=self.now_ms,
             last_listed_ms=self.now_ms,
+            progress_listed_ms=self.now_ms,
         )
         worker.run_by_key[run.key] = run
         return run
@@ -420,6 +421,7 @@
         run.last_listed_ms = region.now_ms + listed_after_ms
         if progress < 100:
             run.last_progress_ms = run.last_listed_ms
+            run.progress_listed_ms = run.last_listed_ms
     return runs
 
 
@@ -434,7 +436,7 @@
 def test_stalled_gang_member_is_stopped_and_only_its_worker_blamed():
     region = Region([_worker(1), _worker(2), _worker(3)])
     runs = _run_gang(region, [100, 62, 100])
-    runs[1].last_progress_ms = NOW_MS
+    runs[1].progress_listed_ms = NOW_MS
     stops = region.run_round(8_000).stops
     assert [stop.run for stop in stops] == [runs[1]]
     assert [worker.failures for worker in region.workers] == [0, 1, 0]
@@ -444,7 +446,7 @@
     """Members work only once all are present; a start order may be late."""
     region = Region([_worker(1), _worker(2)])
     runs = _run_gang(region, [0, 0])
-    runs[0].last_progress_ms = NOW_MS
+    runs[0].progress_listed_ms = NOW_MS
     runs[1].is_confirmed = False
     assert region.run_round(8_000).stops == []
 
@@ -470,6 +472,64 @@
     assert region.run_round(100).starts[0].worker.worker != run.run.worker
 
 
+def _set_progress(run, progress, unchanged_ms, now_ms):
+    run.progress = progress
+    run.last_progress_ms = now_ms - unchanged_ms
+    run.progress_listed_ms = now_ms - unchanged_ms
+    run.last_listed_ms = now_ms
+
+
+def test_urgent_gang_avoids_worker_whose_runs_stand_still():
+    """Urgent gangs started on hanging workers and were late by seconds."""
+    region = Region([_worker(1), _worker(2), _worker(3)])
+    region.submit(_step(1, 2))
+    region.run_round()
+    (hanging,) = (w for w in region.workers if w.run_by_key)
+    region.now_ms += 2_000
+    for run in hanging.run_by_key.values():
+        _set_progress(run, 3, 1_500, region.now_ms)
+    region.submit(_step(4, 4, is_gang=True, estimate_ms=4_000), priority=0)
+    starts = region.run_round().starts
+    assert len(starts) == 4
+    assert hanging not in [start.worker for start in starts]
+
+
+def test_worker_with_one_progressing_run_is_not_unresponsive():
+    region = Region([_worker(1)])
+    region.submit(_step(2, 2))
+    region.run_round()
+    first, second = region.workers[0].run_by_key.values()
+    region.now_ms += 2_000
+    _set_progress(first, 3, 1_500, region.now_ms)
+    _set_progress(second, 19, 100, region.now_ms)
+    region.run_round()
+    assert not region.workers[0].is_unresponsive
+
+
+def test_urgent_run_on_unresponsive_worker_moves_before_others():
+    """A hanging worker held urgent gangs for 8 s, others as long as before."""
+    region = Region([_worker(1), _worker(2)])
+    urgent = region.submit(_step(1, 8, estimate_ms=4_000), priority=0)
+    other = region.submit(_step(1, 8, estimate_ms=4_000))
+    region.run_round()
+    region.now_ms += 2_400
+    for job in (urgent, other):
+        _set_progress(region.runs(job)[0], 20, 1_600, region.now_ms)
+    assert [stop.run.job for stop in region.run_round().stops] == [urgent]
+
+
+def test_urgent_run_waits_as_long_as_its_work_would_take_again():
+    region = Region([_worker(1), _worker(2)])
+    urgent = region.submit(_step(1, 8, estimate_ms=4_000), priority=0)
+    region.run_round()
+    region.now_ms += 4_600
+    (run,) = region.runs(urgent)
+    _set_progress(run, 70, 1_800, region.now_ms)
+    assert region.run_round().stops == []
+    _set_progress(run, 70, 3_100, region.now_ms + 1_300)
+    assert len(region.run_round(1_300).stops) == 1
+
+
 def test_relocation_stops_checkpointed_run_before_drain_ends():
     region = Region([_worker(1), _worker(2)])
     checkpointed = region.submit(_step(1, 8, is_checkpointed=True))
@@ -509,6 +569,7 @@
     run = region.runs(job)[0]
     run.progress = 60
     run.last_progress_ms = region.now_ms + 30_000
+    run.progress_listed_ms = run.last_progress_ms
     run.last_listed_ms = run.last_progress_ms + 4_500
     assert region.run_round(34_500).stops == []
 
@@ -730,7 +791,7 @@
     region, run = _region_with_draining_run(3_000, is_checkpointed=True)
     run.started_ms = region.now_ms - 1_050
     run.task.checkpoint = 'after-6-s'
-    run.confirm(60, region.now_ms - 1_000)
+    run.confirm(60, region.now_ms - 1_000, region.now_ms - 1_000)
     run.progress = 70
     run.last_progress_ms = region.now_ms
     region.workers[0].drain_deadline_ms = region.now_ms + 1_200
@@ -742,7 +803,7 @@
     region, run = _region_with_draining_run(3_000)
     run.started_ms = region.now_ms - 200
     run.is_inherited = True
-    run.confirm(50, region.now_ms - 200)
+    run.confirm(50, region.now_ms - 200, region.now_ms - 200)
     run.progress = 52
     run.last_progress_ms = region.now_ms
     assert [stop.run for stop in region.run_round().stops] == [run]
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/bench_scale.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/bench_scale.py
@@ -88,6 +88,7 @@
         is_confirmed=True,
         last_listed_ms=NOW_MS,
         last_progress_ms=NOW_MS,
+        progress_listed_ms=NOW_MS,
     )
     worker.run_by_key[run.key] = run
 
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/load/trial.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/load/trial.py
@@ -201,6 +201,7 @@
             is_confirmed=True,
             last_progress_ms=self._now_ms,
             last_listed_ms=self._now_ms,
+            progress_listed_ms=self._now_ms,
         )
         worker.run_by_key[run.key] = run
         return run
@@ -230,10 +231,7 @@
         done_ms = max(0, self._now_ms - run.started_ms)
         duration_ms = self._duration_ms_by_run[run.key]
         progress = min(99, 100 * done_ms // duration_ms)
-        run.last_listed_ms = self._now_ms
-        if progress > run.progress:
-            run.progress = progress
-            run.last_progress_ms = self._now_ms
+        run.record_listing(progress, self._now_ms, self._now_ms)
 
     def _stop(self, run: policy.ActiveRun) -> None:
         if run.is_stopping:
