Let operators evacuate data centres by command and HTTP

Operators have had no way to keep new tasks out of a data centre. The commands evacuate and evacuations, and /v1/evacuations behind them, write, remove and list one key for each evacuated data centre under loom/evacuations/.

An error of the store does not tell whether a write took effect, whatever its 'ran' says, and a plain read may be stale.

--- a/packages/mulberryloom-entry/src/mulberryloom_entry/__main__.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/__main__.py
@@ -25,6 +25,8 @@
         'show': commands.show_job,
         'cancel': commands.cancel_job,
     },
+    'evacuate': commands.evacuate,
+    'evacuations': commands.list_evacuations,
     'drain': commands.drain,
     'logs': {'explain': explain.explain},
     'report': {'burn': commands.report_burn},
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/connection/job_callers.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/connection/job_callers.py
@@ -14,6 +14,7 @@
 from result import Result
 
 from . import bodies
+from ..jobs import evacuation_requests
 from ..jobs import intake as intakes
 from . import problems
 from ..process import records
@@ -40,6 +41,10 @@
     def intake(self) -> intakes.Intake:
         """Handler of requests about jobs."""
 
+    @property
+    def evacuations(self) -> evacuation_requests.EvacuationRequests:
+        """Handler of operators' requests to evacuate data centres."""
+
     async def explain_job(
         self, job_id: str
     ) -> Result[list[dict[str, t.Any]], exceptions.Error]:
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/connection/operator_client.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/connection/operator_client.py
@@ -54,6 +54,10 @@
         """Post a body and return the document of the response."""
         return self._request('POST', path, body)
 
+    def put(self, path: str) -> Result[t.Any, RequestFailure]:
+        """Create a resource without a body and return the document."""
+        return self._request('PUT', path, b'')
+
     def delete(self, path: str) -> Result[t.Any, RequestFailure]:
         """Delete a resource and return the document of the response."""
         return self._request('DELETE', path, b'')
@@ -113,6 +117,10 @@
 
 _DEFAULT_ADVICE = "see the entry's log for details, then try again"
 _ADVICE_BY_KIND = {
+    'malformed-request': 'correct the arguments; nothing was changed',
+    'outcome-unknown': (
+        'repeat the command, which is safe, until it succeeds'
+    ),
     'unauthenticated': (
         "set an operator's token with --token-file or MULBERRYLOOM_TOKEN"
     ),
@@ -130,8 +138,7 @@
     ),
     'configuration-too-large': ('remove unused objects; nothing was changed'),
     'store-unavailable': (
-        'the store does not respond; apply the same ticket again later, '
-        'which is safe'
+        'the store does not respond; repeat the command later, which is safe'
     ),
     'store-conflict': (
         'another ticket was stored first; apply the same ticket again'
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/connection/operators.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/connection/operators.py
@@ -1,4 +1,4 @@
-"""HTTP interface for operators: status, tickets, jobs and metrics."""
+"""HTTP interface for operators: status, tickets, jobs and evacuations."""
 
 import dataclasses
 import re
@@ -23,6 +23,7 @@
     from ..process import settings as entry_settings
 
 _Kind = exceptions.ErrorKind
+_EVACUATIONS_PATH = '/v1/evacuations'
 _TICKET_PATH = re.compile(r'/v1/tickets/([0-9]{1,18})')
 
 
@@ -112,6 +113,8 @@
             return await self._submit_ticket(request, is_check=True)
         if request.path.startswith(job_callers.PATH):
             return await self._handle_jobs(request)
+        if f'{request.path}/'.startswith(f'{_EVACUATIONS_PATH}/'):
+            return await self._handle_evacuations(request)
         ticket_path = _TICKET_PATH.fullmatch(request.path)
         if ticket_path is not None and request.method == 'GET':
             return self._show_ticket(int(ticket_path.group(1)))
@@ -123,9 +126,7 @@
     ) -> http_types.HttpResponse:
         """List, show or cancel jobs of any client account."""
         if self._jobs is None:
-            return problems.response_of_kind(
-                _Kind.UNKNOWN_QUEUE, 'this entry takes no jobs'
-            )
+            return _response_without_jobs()
         job_id = request.path.removeprefix(job_callers.PATH).strip('/')
         fields = urllib.parse.parse_qs(request.query)
         match (request.method, bool(job_id)):
@@ -141,6 +142,36 @@
                 return await job_callers.respond_cancel(self._jobs, job_id)
         return problems.response_of_kind(_Kind.METHOD_NOT_ALLOWED)
 
+    async def _handle_evacuations(
+        self, request: http_types.HttpRequest
+    ) -> http_types.HttpResponse:
+        """List, request or end evacuations of data centres."""
+        if self._jobs is None:
+            return _response_without_jobs()
+        evacuations = self._jobs.evacuations
+        if request.path == _EVACUATIONS_PATH:
+            if request.method != 'GET':
+                return _response_to_method(request, 'GET')
+            listed = await evacuations.list_all()
+            if listed.is_err():
+                return problems.response(listed.unwrap_err())
+            documents = [
+                dataclasses.asdict(listed_status)
+                for listed_status in listed.unwrap()
+            ]
+            return bodies.json_response(200, {'evacuations': documents})
+        data_centre = request.path.removeprefix(f'{_EVACUATIONS_PATH}/')
+        match request.method:
+            case 'PUT':
+                settled = await evacuations.request(data_centre)
+            case 'DELETE':
+                settled = await evacuations.end(data_centre)
+            case _:
+                return _response_to_method(request, 'PUT, DELETE')
+        if settled.is_err():
+            return problems.response(settled.unwrap_err())
+        return _dataclass_response(settled.unwrap())
+
     async def _show_job(
         self,
         service: job_callers.JobService,
@@ -225,3 +256,24 @@
 
 def _dataclass_response(instance: t.Any) -> http_types.HttpResponse:
     return bodies.json_response(200, dataclasses.asdict(instance))
+
+
+def _response_without_jobs() -> http_types.HttpResponse:
+    return problems.response_of_kind(
+        _Kind.UNKNOWN_QUEUE, 'this entry takes no jobs'
+    )
+
+
+def _response_to_method(
+    request: http_types.HttpRequest, allowed: str
+) -> http_types.HttpResponse:
+    """Refuse a method that a resource does not have.
+
+    :param allowed: the methods that it has, as in the header ``Allow``.
+    """
+    response = problems.response_of_kind(
+        _Kind.METHOD_NOT_ALLOWED,
+        f'{request.method} is not allowed on {request.path[:100]}',
+    )
+    response.headers_by_name['Allow'] = allowed
+    return response
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/entry.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/entry.py
@@ -35,6 +35,7 @@
 from . import catalogue_follower
 from . import election
 from . import entry_addresses
+from . import evacuation_requests
 from . import gateway
 from . import intake
 from . import keys
@@ -93,6 +94,7 @@
     :ivar name: peer name, new at every start.
     :ivar store: store client that falls back on relaying through peers.
     :ivar intake: handler of requests about jobs.
+    :ivar evacuations: handler of operators' requests to evacuate data centres.
     """
 
     def __init__(
@@ -127,6 +129,9 @@
         self.intake = intake.Intake(
             self.store, self, clock, self.process_metrics
         )
+        self.evacuations = evacuation_requests.EvacuationRequests(
+            self.store, clock
+        )
         self._peer_by_name: dict[str, _Peer] = {}
         self._agent_names: set[str] = set()
         self._entry_addresses = entry_addresses.EntryAddresses(
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/process/commands.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/process/commands.py
@@ -314,6 +314,48 @@
     return _print_result(result, json, reports.format_job_state)
 
 
+def evacuate(
+    name: str,
+    *,
+    end: bool = False,
+    entry: str = DEFAULT_ENTRY,
+    token_file: pathlib.Path | None = None,
+    json: bool = False,
+) -> int:
+    """Start no new tasks in a data centre until the request is taken back.
+
+    Running tasks continue. Repeating the command has no further effect.
+
+    :param name: name of the data centre.
+    :param end: take the request back.
+    :param entry: operators_listen address of any entry.
+    :param token_file: file with the operator's token; by default the
+        token is read from the variable MULBERRYLOOM_TOKEN.
+    :param json: print JSON instead of text.
+    """
+    path = f'/v1/evacuations/{urllib.parse.quote(name, safe="")}'
+    client = _client(entry, token_file)
+    result = client.delete(path) if end else client.put(path)
+    return _print_result(result, json, reports.format_evacuation)
+
+
+def list_evacuations(
+    *,
+    entry: str = DEFAULT_ENTRY,
+    token_file: pathlib.Path | None = None,
+    json: bool = False,
+) -> int:
+    """List the data centres in which no new tasks are to start.
+
+    :param entry: operators_listen address of any entry.
+    :param token_file: file with the operator's token; by default the
+        token is read from the variable MULBERRYLOOM_TOKEN.
+    :param json: print JSON instead of text.
+    """
+    result = _client(entry, token_file).get('/v1/evacuations')
+    return _print_result(result, json, reports.format_evacuations)
+
+
 def drain(
     *,
     entry: str = DEFAULT_ENTRY,
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/process/reports.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/process/reports.py
@@ -210,6 +210,28 @@
     return f'{document["job_id"]} is {document["state"]}'
 
 
+def format_evacuation(document: t.Any) -> str:
+    """Format whether a data centre is evacuated."""
+    negation = '' if document['is_evacuated'] else 'not '
+    return (
+        f'{document["data_centre"]} is {negation}evacuated, as of revision '
+        f'{document["revision"]}'
+    )
+
+
+def format_evacuations(document: t.Any) -> str:
+    """Format a list of evacuated data centres."""
+    if not document['evacuations']:
+        return 'no data centre is evacuated'
+    return tables.render(
+        ['evacuated data centre', 'revision'],
+        [
+            [evacuation['data_centre'], evacuation['revision']]
+            for evacuation in document['evacuations']
+        ],
+    )
+
+
 def format_burn(document: t.Any) -> str:
     """Format the burn rates of all objectives."""
     if not document:
--- a/packages/mulberryloom-entry/tests/test_commands.py
+++ b/packages/mulberryloom-entry/tests/test_commands.py
@@ -2,19 +2,27 @@
 
 import asyncio
 import hashlib
+import io
 import json
 import threading
 
 import pytest
+from result import Err
+import structlog
 
 from mulberryloom_core import clock
+from mulberryloom_core import exceptions
 from mulberryloom_core import identity
+from mulberryloom_core.process import logs
 from mulberryloom_core.process import store_client
+from mulberryloom_core import store as stores
 from mulberryloom_core.version import writer
 from mulberryloom_entry import __main__
 from mulberryloom_entry.connection import operator_client
+from mulberryloom_entry.jobs import keys
 from mulberryloom_entry.process import runner
 from mulberryloom_entry.process import settings as entry_settings
+from mulberryloom_standins.store import core as store_core
 
 TOKEN = 'operator-token'
 
@@ -78,14 +86,17 @@
 
 
 class RunningEntry:
-    """An entry in its own thread, whose store is unreachable."""
+    """An entry in its own thread.
 
-    def __init__(self, document):
+    :param store: client of its store; by default of an unreachable one.
+    """
+
+    def __init__(self, document, store=None):
         settings = entry_settings.EntrySettings.from_document(document)
+        if store is None:
+            store = store_client.EtcdStore([identity.Address('127.0.0.1', 1)])
         self._process = runner.EntryProcess.from_settings(
-            settings,
-            clock.SystemClock(),
-            store_client.EtcdStore([identity.Address('127.0.0.1', 1)]),
+            settings, clock.SystemClock(), store
         )
         self._started = threading.Event()
         self.thread = threading.Thread(target=self._run)
@@ -105,8 +116,59 @@
         return self._process.settings.operators_listen
 
 
+class JobStore:
+    """Store stand-in whose answers to writes of evacuations can be lost.
+
+    :ivar answers_to_lose: number of these writes that take effect without
+        an answer.
+    """
+
+    def __init__(self):
+        self.answers_to_lose = 0
+        self._core = store_core.StoreCore()
+
+    async def call(self, request):
+        if isinstance(request, stores.WatchPrefix):
+            await asyncio.sleep(request.timeout_ms / 1_000)
+        answer = self._core.handle(request, 0)
+        is_evacuation = isinstance(request, stores.Transact) and any(
+            key.startswith(keys.EVACUATIONS) for key in request.expected_by_key
+        )
+        if is_evacuation and self.answers_to_lose:
+            self.answers_to_lose -= 1
+            kind = exceptions.ErrorKind.STORE_UNAVAILABLE
+            return Err(exceptions.Error.from_kind(kind))
+        return answer
+
+
+@pytest.fixture
+def job_store():
+    return JobStore()
+
+
+@pytest.fixture
+def separate_log():
+    """Keep the log of the entry out of the output of the commands."""
+    logs.configure('info', io.StringIO())
+    yield
+    structlog.reset_defaults()
+    structlog.contextvars.clear_contextvars()
+
+
+@pytest.fixture
+def job_options(tmp_path, document, job_store, separate_log):
+    """Options for commands to an entry that takes jobs."""
+    with_jobs = {**document, 'jobs': {'listen': '127.0.0.1:0'}}
+    yield from _run_entry(tmp_path, with_jobs, job_store)
+
+
 @pytest.fixture
 def options(tmp_path, document):
+    """Options for commands to an entry without jobs."""
+    yield from _run_entry(tmp_path, document)
+
+
+def _run_entry(tmp_path, document, store=None):
     token_file = tmp_path / 'token'
     token_file.write_text(TOKEN + '\n')
     changed = {
@@ -116,7 +178,7 @@
         ).hexdigest(),
         'balancer_notice_ms': 0,
     }
-    running = RunningEntry(changed)
+    running = RunningEntry(changed, store)
     address = running.start()
     arguments = ['--entry', address, '--token-file', str(token_file)]
     yield arguments
@@ -169,5 +231,40 @@
     assert 'stops' in stdout
 
 
+def test_evacuation_is_requested_listed_and_ended(
+    capsys, job_options, job_store
+):
+    """Lost answers of the store must not change what a command reports."""
+    evacuate = ['evacuate', 'galway-b', *job_options, '--json']
+    status, stdout, _ = run_command(capsys, *evacuate)
+    first = json.loads(stdout)
+    assert (status, first['is_evacuated']) == (0, True)
+    job_store.answers_to_lose = 1
+    assert json.loads(run_command(capsys, *evacuate)[1]) == first
+    _, stdout, _ = run_command(capsys, 'evacuations', *job_options)
+    assert stdout.splitlines()[1].split() == [
+        'galway-b',
+        str(first['revision']),
+    ]
+    for _ in range(2):
+        job_store.answers_to_lose = 1
+        status, stdout, _ = run_command(capsys, *evacuate, '--end')
+        assert (status, json.loads(stdout)['is_evacuated']) == (0, False)
+    _, stdout, _ = run_command(capsys, 'evacuations', *job_options)
+    assert stdout == 'no data centre is evacuated\n'
+
+
+def test_evacuation_of_invalid_name_is_refused(capsys, job_options):
+    for name in ('', 'galway/a', 'a' * 101):
+        status, _, stderr = run_command(capsys, 'evacuate', name, *job_options)
+        assert (status, 'malformed-request' in stderr) == (1, True)
+
+
+def test_entry_without_jobs_refuses_evacuations(capsys, options):
+    for command in (['evacuate', 'galway-a'], ['evacuations']):
+        status, _, stderr = run_command(capsys, *command, *options)
+        assert (status, 'unknown-queue' in stderr) == (1, True)
+
+
 def test_client_timeout_exceeds_the_retry_period_of_a_ticket():
     assert operator_client.CALL_TIMEOUT_MS > writer.TICKET_TIMEOUT_MS + 1_000
