Tell the leader for how long a worker stays slow

A worker that has just started is slow for a time, and its heartbeat says for how long. The reported time falls with the age of the heartbeat, and a falling value alone sends no report.

With the volatile field kept, the time not aged, or the end of the warm-up forgotten, one of the tests fails each.

--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
@@ -139,6 +139,7 @@
     def __init__(self, options: WorkerSupervisorOptions, now_ms: int) -> None:
         self._options = options
         self.info: worker_calls.WorkerInfo | None = None
+        self._heartbeat_ms = now_ms
         self.generation = 0
         self._orders_sequence = 0
         #: Time of the last report that was echoed by a leader which had
@@ -217,6 +218,7 @@
         ) != _without_volatile_fields(previous):
             self._has_unreported_changes = True
         self.info = info
+        self._heartbeat_ms = now_ms
 
     def _is_newer(
         self, info: worker_calls.WorkerInfo, previous: worker_calls.WorkerInfo
@@ -850,6 +852,7 @@
                 if end.sequence > self._acknowledged_sequence
             ],
             starting,
+            max(0, info.warmup_left_ms - (now_ms - self._heartbeat_ms)),
         )
 
 
@@ -861,7 +864,9 @@
     info: worker_calls.WorkerInfo,
 ) -> worker_calls.WorkerInfo:
     """Clear the fields that change with every heartbeat."""
-    return dataclasses.replace(info, sequence=0, remaining_ms=0)
+    return dataclasses.replace(
+        info, sequence=0, remaining_ms=0, warmup_left_ms=0
+    )
 
 
 def _run_keys(
--- a/packages/mulberryloom-agent/tests/test_worker_supervisor.py
+++ b/packages/mulberryloom-agent/tests/test_worker_supervisor.py
@@ -25,6 +25,7 @@
         8,
         values['is_draining'],
         values['remaining_ms'],
+        values.get('warmup_left_ms', 0),
     )
 
 
@@ -608,3 +609,29 @@
     agent.supervisor.on_heartbeat(_info(sequence=2), agent.now_ms)
     agent.supervisor.on_hold_reply(hold, _not_listening(), agent.now_ms)
     assert agent.supervisor.take_report(agent.now_ms).is_alive
+
+
+def test_falling_time_of_warm_up_causes_no_report():
+    """Each heartbeat of a cold worker would send a report to the leader."""
+    agent = Agent()
+    supervisor = agent.supervisor
+    supervisor.on_heartbeat(_info(boot=2, warmup_left_ms=5_000), agent.now_ms)
+    first = supervisor.take_report(agent.now_ms)
+    assert first.warmup_left_ms == 5_000
+    supervisor.on_heartbeat(
+        _info(boot=2, sequence=2, warmup_left_ms=4_700), agent.now_ms + 300
+    )
+    assert supervisor.take_report(agent.now_ms + 300) is None
+
+
+def test_reported_time_of_warm_up_falls_without_heartbeats():
+    """The leader would take a silent worker for cold for ever."""
+    agent = Agent()
+    agent.supervisor.on_heartbeat(
+        _info(boot=2, warmup_left_ms=1_500), agent.now_ms
+    )
+    left_ms = [
+        agent.supervisor.take_report(agent.now_ms + after).warmup_left_ms
+        for after in (0, 1_000, 2_000)
+    ]
+    assert left_ms == [1_500, 500, 0]
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/fleet.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/fleet.py
@@ -106,6 +106,7 @@
             capacity.drain_deadline_ms = now_ms + report.remaining_ms
         capacity.is_draining = report.is_draining
         capacity.is_accepting = report.is_alive and not report.is_draining
+        capacity.set_warmup_left(report.warmup_left_ms, now_ms)
         return _capacity_and_state(capacity) != before
 
     def take_orders(
--- a/packages/mulberryloom-entry/tests/test_job_leader.py
+++ b/packages/mulberryloom-entry/tests/test_job_leader.py
@@ -58,6 +58,7 @@
             ],
             list(found.get('ended', ())),
             [],
+            found.get('warmup_left_ms', 0),
         )
         self.leader.on_report(node, report, self.now_ms, self.now_ms)
 
@@ -391,3 +392,29 @@
     harness.advance()
     harness.advance()
     assert harness.stored_job.task_by_key[jobs.TaskKey(0, 0, 0)].last_run == 2
+
+
+def test_warm_up_of_worker_is_kept_on_the_clock_of_the_planner():
+    """The end must outlast the warm-up: runs begun before it end later."""
+    harness = LeaderHarness()
+    warm_at_ms = harness.now_ms + 2_000
+    harness.report(warmup_left_ms=2_000)
+    (link,) = harness.leader._link_by_key.values()
+    assert link.capacity.warm_ms == warm_at_ms
+    harness.leader._needs_plan = False
+    harness.now_ms += 500
+    harness.report(warmup_left_ms=1_500)
+    assert link.capacity.warm_ms == warm_at_ms
+    assert not harness.leader._needs_plan
+    harness.now_ms += 2_500
+    harness.report()
+    assert link.capacity.warm_ms == warm_at_ms
+
+
+def test_worker_that_is_warm_early_is_no_longer_cold():
+    harness = LeaderHarness()
+    harness.report(warmup_left_ms=60_000)
+    harness.now_ms += 500
+    harness.report()
+    (link,) = harness.leader._link_by_key.values()
+    assert link.capacity.warm_ms == harness.now_ms
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/capacity.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/capacity.py
@@ -152,6 +152,8 @@
     :param committed_cpu: CPU capacity committed in this planning round, to
         tasks that start and to reservations, in thousandths of a core;
         ``committed_memory`` (MB) and ``committed_accelerators`` likewise.
+    :param warm_ms: time from which the worker is warm; before, it is slow
+        since it was started a short time ago.
     """
 
     worker: str
@@ -178,6 +180,18 @@
     committed_cpu: int = 0
     committed_memory: int = 0
     committed_accelerators: int = 0
+    warm_ms: int = 0
+
+    def set_warmup_left(self, left_ms: int, now_ms: int) -> None:
+        """Record for how long the worker stays slow.
+
+        The end of the last warm-up is kept, since runs that have started
+        before it are expected to end later.
+
+        :param left_ms: time that the worker states; ``0`` if it is warm.
+        """
+        if left_ms or self.warm_ms > now_ms:
+            self.warm_ms = now_ms + left_ms
 
     def begin_round(self) -> None:
         """Drop the commitments of the last round and recompute."""
