Place urgent work on warm workers first

The planner took workers that were slow after their start for as good as any. Steps of priority 0 now take cold workers only if the warm ones don't suffice, and a run on a cold worker is expected to end later by half of the warm-up that was left at its start, at most by its own duration. Backfill and reservations use the later end.

--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
@@ -13,6 +13,7 @@
 from . import health
 from . import placement
 from . import valuation
+from . import warm_placement
 from .capacity import TaskDemand
 from .capacity import WorkerCapacity
 from .gangs import GangRuns
@@ -24,7 +25,6 @@
 from .relocation import Relocation
 from .reservation import Reservation
 from .reservation import ReservationFinder
-from .round_state import Backfill
 from .round_state import PendingStep
 from .round_state import RoundState
 from .urgent_load import UrgentLoad
@@ -272,10 +272,12 @@
     ) -> placement.Assignment | None:
         """Return workers with free capacity for all tasks of a gang."""
         step = pending.step
-        with Backfill(state, self._expected_end_ms(step, state)):
-            return placement.place_gang(
-                step, len(pending.tasks), workers, in_one_rack=in_one_rack
+        finder = self._placement_finder(pending, workers, state)
+        return finder.find(
+            lambda candidates: placement.place_gang(
+                step, len(pending.tasks), candidates, in_one_rack=in_one_rack
             )
+        )
 
     def _place_tasks(
         self,
@@ -288,11 +290,14 @@
             pending.job, pending.repetition, pending.step_index
         )
         preferred = self._preferred_workers(pending, eligible, state)
-        end_ms = self._expected_end_ms(step, state)
+        finder = self._placement_finder(pending, preferred, state)
         unplaced = len(pending.tasks)
         for task in pending.tasks:
-            with Backfill(state, end_ms):
-                worker = placement.place_task(step, preferred, count_by_worker)
+            worker = finder.find_one(
+                lambda candidates: placement.place_task(
+                    step, candidates, count_by_worker
+                )
+            )
             if worker is None:
                 break
             count_by_worker[worker.worker] += 1
@@ -368,9 +373,16 @@
             and in_one_rack.start_ms - state.now_ms < extra_ms
         )
 
-    def _expected_end_ms(self, step: jobs.Step, state: RoundState) -> int:
-        """Return when a task that starts now is expected to end."""
-        return state.now_ms + self._estimator.task_duration_ms(step)
+    def _placement_finder(
+        self,
+        pending: PendingStep,
+        workers: list[WorkerCapacity],
+        state: RoundState,
+    ) -> warm_placement.PlacementFinder:
+        duration_ms = self._estimator.task_duration_ms(pending.step)
+        return warm_placement.PlacementFinder(
+            pending.job, workers, duration_ms, state
+        )
 
     def _start(
         self,
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/reservation.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/reservation.py
@@ -61,7 +61,9 @@
         self, step: jobs.Step, worker: WorkerCapacity, now_ms: int
     ) -> None:
         """Count a task that starts in this round as running."""
-        end_ms = now_ms + self._estimator.task_duration_ms(step)
+        end_ms = now_ms + self._estimator.start_duration_ms(
+            step, worker, now_ms
+        )
         self._starts_by_worker[worker.worker].append((end_ms, step))
         self._ends_by_worker.pop(worker.worker, None)
         self._slots_by_search.clear()
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/round_state.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/round_state.py
@@ -63,6 +63,14 @@
         dataclasses.field(default_factory=dict)
     )
 
+    #: Whether any worker is cold, see ``warmup``.
+    has_cold_workers: bool = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        self.has_cold_workers = any(
+            worker.warm_ms > self.now_ms for worker in self.workers
+        )
+
     def block(self, pending: PendingStep, reason: str) -> None:
         """Record why a step waits."""
         self.plan.blocked.append(
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/valuation.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/valuation.py
@@ -6,6 +6,7 @@
 
 from mulberryloom_core.request import jobs
 
+from . import warmup
 from .capacity import ActiveRun
 from .capacity import RunKey
 from .capacity import WorkerCapacity
@@ -113,6 +114,7 @@
         self._deadlines_by_id: dict[str, JobDeadlines] = {}
         self._gang_remaining_ms_by_run: dict[RunKey, int] = {}
         self._fleet = FleetShape()
+        self._warm_ups = warmup.WarmUps()
 
     def begin_round(
         self,
@@ -129,6 +131,7 @@
         self._deadlines_by_id.clear()
         self._gang_remaining_ms_by_run.clear()
         self._fleet.update(workers)
+        self._warm_ups.update(workers)
         core_ms_by_id = {}
         for job in open_jobs:
             core_ms = self._core_ms_by_id.get(job.job_id)
@@ -176,6 +179,15 @@
         """Return the expected duration of one task of a step."""
         return step.estimate_ms or self._options.default_estimate_ms
 
+    def start_duration_ms(
+        self, step: jobs.Step, worker: WorkerCapacity, now_ms: int
+    ) -> int:
+        """Return the expected duration of a task that a worker starts now."""
+        duration_ms = self.task_duration_ms(step)
+        return duration_ms + warmup.extra_ms(
+            worker.warm_ms, now_ms, duration_ms
+        )
+
     def run_remaining_ms(self, run: ActiveRun, now_ms: int) -> int:
         """Return the expected time until a run ends.
 
@@ -199,7 +211,8 @@
         Once ``min_reliable_progress`` percent were done under this leader,
         it is extrapolated from them; before, it is computed from the
         declared duration, of which a quarter is expected to remain at
-        least. A stopping run ends within its grace period.
+        least. It is longer on a worker that was cold. A stopping run ends
+        within its grace period.
         """
         if run.is_stopping:
             return self._options.stop_grace_ms
@@ -209,6 +222,7 @@
         expected_ms = (
             self.task_duration_ms(run.step) * (100 - run.base_progress) // 100
         )
+        expected_ms += self._warm_ups.extra_ms(run, expected_ms)
         elapsed_ms = max(0, now_ms - run.base_ms)
         return max(expected_ms - elapsed_ms, expected_ms // 4)
 
--- a/packages/mulberryloom-policy/tests/test_job_planner.py
+++ b/packages/mulberryloom-policy/tests/test_job_planner.py
@@ -772,3 +772,101 @@
 
 def test_urgent_job_waits_for_an_end_that_leaves_it_enough_time():
     assert not _preempts_for_urgent_job(8_000)
+
+
+def _cold_worker(index, rack='r1', left_ms=8_000):
+    return _worker(index, rack, warm_ms=NOW_MS + left_ms)
+
+
+def _occupy(region, worker, accelerators, estimate_ms):
+    """Start a task on a worker."""
+    job = region.submit(_step(1, accelerators, estimate_ms=estimate_ms))
+    (task,) = job.task_by_key.values()
+    return region.start_run(job, task, worker)
+
+
+def _workers_of_starts(plan):
+    return sorted(start.worker.worker for start in plan.starts)
+
+
+@pytest.mark.parametrize(('priority', 'chosen'), [(0, 'w2'), (1, 'w1')])
+def test_only_urgent_work_avoids_cold_workers(priority, chosen):
+    """Urgent tasks were late on workers that had just been taken back."""
+    region = Region([_cold_worker(1), _worker(2)])
+    _occupy(region, region.workers[0], 6, 20_000)
+    region.submit(_step(1, 1), priority=priority)
+    assert _workers_of_starts(region.run_round()) == [chosen]
+
+
+@pytest.mark.parametrize('is_gang', [False, True])
+def test_urgent_work_takes_cold_workers_if_warm_ones_do_not_suffice(is_gang):
+    region = Region([_cold_worker(1), _worker(2)])
+    region.submit(_step(10, 1, is_gang=is_gang), priority=0)
+    chosen = _workers_of_starts(region.run_round())
+    assert set(chosen) == {'w1', 'w2'}
+    if not is_gang:
+        assert chosen.count('w2') == 8
+
+
+@pytest.mark.parametrize(
+    ('is_same_rack', 'chosen'), [(False, ['w2', 'w3']), (True, ['w1', 'w2'])]
+)
+def test_urgent_gang_prefers_warm_workers_to_one_rack(is_same_rack, chosen):
+    """A gang that asks for one rack loses more across racks."""
+    region = Region([_cold_worker(1), _worker(2), _worker(3, 'r2')])
+    step = _step(2, 8, is_gang=True, is_same_rack=is_same_rack)
+    region.submit(step, priority=0)
+    assert _workers_of_starts(region.run_round()) == chosen
+
+
+def test_cold_worker_is_warm_once_its_time_is_over():
+    region = Region([_cold_worker(1), _worker(2)])
+    _occupy(region, region.workers[0], 6, 20_000)
+    region.submit(_step(1, 1), priority=0)
+    assert _workers_of_starts(region.run_round(8_000)) == ['w1']
+
+
+@pytest.mark.parametrize(
+    ('estimate_ms', 'expected_ms'), [(10_000, 14_000), (1_000, 2_000)]
+)
+def test_run_on_cold_worker_is_expected_to_end_later(estimate_ms, expected_ms):
+    region = Region([_cold_worker(1)])
+    run = _occupy(region, region.workers[0], 1, estimate_ms)
+    estimator = region.planner._estimator
+    region.run_round()
+    assert estimator.run_remaining_ms(run, region.now_ms) == expected_ms
+    region.run_round(1_000)
+    later_ms = estimator.run_remaining_ms(run, region.now_ms)
+    assert later_ms == expected_ms - 1_000
+
+
+@pytest.mark.parametrize('is_cold', [False, True])
+def test_backfill_counts_the_warm_up_of_a_cold_worker(is_cold):
+    """Else the task is still running when the gang could start."""
+    region = Region([_worker(1), _cold_worker(2) if is_cold else _worker(2)])
+    _occupy(region, region.workers[0], 4, 20_000)
+    region.submit(_step(2, 8, is_gang=True))
+    assert region.run_round().starts == []
+    region.submit(_step(1, 8, estimate_ms=18_000))
+    assert len(region.run_round().starts) == (0 if is_cold else 1)
+
+
+def test_backfill_on_warm_worker_if_the_best_fit_is_cold():
+    region = Region([_worker(1), _cold_worker(2)])
+    _occupy(region, region.workers[0], 4, 20_000)
+    _occupy(region, region.workers[1], 5, 16_000)
+    region.submit(_step(2, 8, is_gang=True))
+    assert region.run_round().starts == []
+    region.submit(_step(1, 2, estimate_ms=18_000))
+    assert _workers_of_starts(region.run_round()) == ['w1']
+
+
+def test_reservation_counts_the_warm_up_of_tasks_that_start():
+    """Else a gang behind them is promised their worker too early."""
+    region = Region([_cold_worker(1)])
+    region.submit(_step(1, 5, estimate_ms=10_000))
+    region.submit(_step(8, 1, is_gang=True))
+    finder = region.planner._reservation_finder
+    region.run_round()
+    (end,) = finder._expected_ends(region.workers[0], region.now_ms)[-1:]
+    assert end[0] == NOW_MS + 14_000
