Poll a worker faster while its runs stand still

Lists come every 0.8 s, reports every 0.9 s, and the age of a list counts from its request, so that the leader learned of it up to 2.5 s late.

Change: when a list shows no progress although progress is expected, the agent reports it at once and reads the next list after 0.3 s. Progress is expected for 3 s after a start and after three lists in a row that showed it, so that runs of hours cause no further calls.

Result: the new tests fail on the code before.

--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
@@ -13,6 +13,7 @@
 from mulberryloom_core import messages
 import structlog
 
+from . import progress_monitor
 from . import worker_calls
 
 #: A call to the worker.
@@ -50,7 +51,8 @@
     :param wait_ms: long-polling timeout of a hold call, within which the
         worker replies as soon as a run ends.
     :param poll_interval_ms: interval between hold calls while the leader
-        has not acknowledged all ended runs.
+        has not acknowledged all ended runs, and while the runs of the
+        worker stand still.
     :param retry_delay_ms: delay before a call without a reply is repeated.
     :param order_ttl_ms: time for which a start call may still reach a worker
         that has restarted under its name; equals the leader's option.
@@ -154,6 +156,7 @@
         self._earlier_incarnations: set[IncarnationKey] = set()
         self._running: tuple[messages.RunningTask, ...] = ()
         self._ended: tuple[messages.EndedTask, ...] = ()
+        self._progress = progress_monitor.ProgressMonitor()
         #: When the call was sent that returned the lists.
         self._lists_requested_ms = 0
         #: Whether the lists were read from this incarnation of the worker
@@ -260,6 +263,7 @@
         )
         self._running = ()
         self._ended = ()
+        self._progress = progress_monitor.ProgressMonitor()
         self._has_current_lists = False
         self._is_leaving = False
         self._has_left = False
@@ -496,12 +500,16 @@
             or reply.ended != self._ended
         ):
             self._has_unreported_changes = True
+        self._progress.on_list(reply.running, now_ms)
+        is_standing_still = self._progress.is_standing_still(now_ms)
+        if is_standing_still:
+            self._has_unreported_changes = True
         self._running = reply.running
         self._ended = reply.ended
         self._lists_requested_ms = sent_ms
         self._has_current_lists = True
         self._resolve_listed_starts()
-        if self._has_unacknowledged_ends():
+        if self._has_unacknowledged_ends() or is_standing_still:
             self._hold_due_ms = now_ms + self._options.poll_interval_ms
         else:
             self._hold_due_ms = now_ms
@@ -715,6 +723,7 @@
             or self._clock_offset_ms is None
             or self._confirming_hold_id_by_key
             or self._has_unacknowledged_ends()
+            or self._progress.is_standing_still(now_ms)
         )
         deadline_ms = 0
         if self._can_renew(now_ms):
--- a/packages/mulberryloom-agent/tests/test_worker_supervisor.py
+++ b/packages/mulberryloom-agent/tests/test_worker_supervisor.py
@@ -62,6 +62,13 @@
         due = self.supervisor.due_calls(self.now_ms)
         return [call for call in due if isinstance(call, kind)]
 
+    def hold(self, running=()):
+        """Answer the due hold call; no long-poll time passes."""
+        (hold,) = self.calls()
+        self.supervisor.on_hold_reply(
+            hold, _hold_reply(self.now_ms, running), self.now_ms
+        )
+
     def order(self, *, starts=(), stops=(), echo_ms=None, observed=0):
         """Deliver the next orders of the leader.
 
@@ -106,6 +113,29 @@
         return any(item.run_number == run for item in items)
 
 
+def test_worker_whose_runs_stand_still_is_polled_and_reported_faster():
+    """The leader learned of a hanging worker up to 2.5 s later."""
+    agent = Agent()
+    agent.hold(running=[1])
+    agent.supervisor.take_report(agent.now_ms)
+    agent.now_ms += 800
+    agent.hold(running=[1])
+    assert agent.supervisor.take_report(agent.now_ms) is not None
+    assert agent.calls() == []
+    agent.now_ms += 300
+    (call,) = agent.calls()
+    assert call.wait_ms == 0
+
+
+def test_worker_of_long_runs_is_polled_as_usual():
+    agent = Agent()
+    agent.hold(running=[1])
+    agent.now_ms += 4_000
+    agent.hold(running=[1])
+    (call,) = agent.calls()
+    assert call.wait_ms > 0
+
+
 def test_report_tells_the_age_of_the_lists_of_a_silent_worker():
     """Without it, a silent worker looks like one without progress."""
     agent = Agent()
