Give workers in evacuated data centres no new work

The planner had no way to leave out workers whose runs continue. plan() takes the names of the evacuated data centres; their workers get no start, reservation, backfill or preemption, and a step that needs them waits with the reason 'data centre evacuated'.

--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
@@ -16,6 +16,7 @@
 from .capacity import TaskDemand
 from .capacity import WorkerCapacity
 from .gangs import GangRuns
+from .open_workers import OpenWorkers
 from .options import PlanOptions
 from .plan import Plan
 from .plan import Start
@@ -66,6 +67,7 @@
         *,
         may_preempt: bool = True,
         max_priority: int | None = None,
+        evacuated: t.Collection[str] = frozenset(),
     ) -> Plan:
         """Run one planning round.
 
@@ -79,27 +81,30 @@
             on draining workers and stalled runs are stopped in any case.
         :param max_priority: highest priority number of the jobs that may
             start tasks; ``None`` if all may.
+        :param evacuated: names of the data centres whose workers get no new
+            work. Their runs continue.
         """
         ordered_jobs = list(open_jobs)
+        fleet = OpenWorkers(workers, evacuated)
         self._gang_runs.begin_round(workers)
-        self._estimator.begin_round(ordered_jobs, workers)
+        self._estimator.begin_round(ordered_jobs, fleet.workers)
         self._reservation_finder.begin_round()
         for worker in workers:
             worker.begin_round()
         guaranteed_ids = _guaranteed_ids(ordered_jobs, catalogue)
         self._urgent_load.observe(ordered_jobs, wall_ms)
         other_capacity = self._urgent_load.capacity_for_others(
-            workers,
+            fleet.workers,
             (
                 run
-                for worker in workers
+                for worker in fleet.workers
                 for run in worker.run_by_key.values()
                 if _blocks_urgent_jobs(run.job, run.step)
             ),
             wall_ms,
         )
         state = RoundState(
-            workers,
+            fleet,
             catalogue,
             now_ms,
             wall_ms,
@@ -205,6 +210,12 @@
             return
         eligible = self._eligible_workers(pending, state)
         step, count = pending.step, len(pending.tasks)
+        service = service_of(pending.job, state.catalogue)
+        if state.fleet.need_evacuated(
+            step, service, count if step.is_gang else 1
+        ):
+            state.block(pending, 'data centre evacuated')
+            return
         if any(task.failures for task in pending.tasks):
             eligible = health.without_suspects(
                 step, count if step.is_gang else 1, eligible
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/round_state.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/round_state.py
@@ -7,6 +7,7 @@
 
 from .capacity import TaskDemand
 from .capacity import WorkerCapacity
+from .open_workers import OpenWorkers
 from .plan import Blocked
 from .plan import Plan
 from .reservation import Reservation
@@ -38,6 +39,7 @@
 class RoundState:
     """Input, result and reservations of one planning round.
 
+    :param fleet: the workers, without those in evacuated data centres.
     :param now_ms: monotonic time.
     :param wall_ms: Unix time.
     :param guaranteed_ids: ids of the guaranteed jobs.
@@ -49,7 +51,7 @@
         demand.
     """
 
-    workers: list[WorkerCapacity]
+    fleet: OpenWorkers
     catalogue: catalogues.Catalogue
     now_ms: int
     wall_ms: int
@@ -63,6 +65,11 @@
         dataclasses.field(default_factory=dict)
     )
 
+    @property
+    def workers(self) -> list[WorkerCapacity]:
+        """Workers that may receive new work."""
+        return self.fleet.workers
+
     def block(self, pending: PendingStep, reason: str) -> None:
         """Record why a step waits."""
         self.plan.blocked.append(
--- a/packages/mulberryloom-policy/tests/test_job_planner.py
+++ b/packages/mulberryloom-policy/tests/test_job_planner.py
@@ -772,3 +772,104 @@
 
 def test_urgent_job_waits_for_an_end_that_leaves_it_enough_time():
     assert not _preempts_for_urgent_job(8_000)
+
+
+def _region_of_two_data_centres(**options):
+    """Return a region with two workers in ``dc1`` and one in ``dc2``."""
+    workers = [_worker(1), _worker(2), _worker(3, 'r2')]
+    for worker, data_centre in zip(workers, ('dc1', 'dc1', 'dc2')):
+        worker.data_centre = data_centre
+    return Region(workers, **options)
+
+
+def _started_in(plan):
+    return {start.worker.data_centre for start in plan.starts}
+
+
+def test_evacuated_data_centre_gets_no_tasks():
+    region = _region_of_two_data_centres()
+    region.submit(_step(24, 1))
+    plan = region.plan(evacuated={'dc1'})
+    assert len(plan.starts) == 8
+    assert _started_in(plan) == {'dc2'}
+    assert _started_in(region.plan()) == {'dc1', 'dc2'}
+
+
+def test_gang_is_not_placed_partly_in_evacuated_data_centre():
+    region = _region_of_two_data_centres()
+    region.submit(_step(2, 8, is_gang=True))
+    plan = region.plan(evacuated={'dc1'})
+    assert plan.starts == []
+    assert [item.reason for item in plan.blocked] == ['data centre evacuated']
+
+
+def test_step_waits_for_capacity_while_open_workers_could_run_it():
+    """The reason must not name an evacuation that it does not wait for."""
+    region = _region_of_two_data_centres()
+    region.submit(_step(1, 8))
+    region.submit(_step(1, 8))
+    plan = region.plan(evacuated={'dc1'})
+    assert _started_in(plan) == {'dc2'}
+    assert [item.reason for item in plan.blocked] != ['data centre evacuated']
+
+
+def test_labelled_step_waits_for_end_of_evacuation():
+    region = _region_of_two_data_centres()
+    region.submit(_step(1, 1, label='r1'))
+    plan = region.plan(evacuated={'dc1'})
+    assert plan.starts == []
+    assert [item.reason for item in plan.blocked] == ['data centre evacuated']
+
+
+def test_no_run_is_preempted_in_evacuated_data_centre():
+    region = _region_of_two_data_centres()
+    region.submit(_step(24, 1, is_checkpointed=True), priority=2)
+    region.run_round()
+    region.submit(_step(1, 8), priority=0)
+    stops = region.plan(evacuated={'dc1'}).stops
+    assert stops
+    assert {stop.run.run.worker for stop in stops} == {'w3'}
+
+
+def test_capacity_is_reserved_only_outside_evacuated_data_centre():
+    """A reservation there would keep nothing free for the large task."""
+    region = _region_of_two_data_centres()
+    region.submit(_step(3, 4))
+    for task, worker in zip(region.jobs[0].tasks_of(0, 0), region.workers):
+        region.start_run(region.jobs[0], task, worker)
+    region.submit(_step(1, 8))
+    region.plan(evacuated={'dc1'})
+    reserved = [worker.committed_accelerators for worker in region.workers]
+    assert reserved == [0, 0, 8]
+
+
+def test_run_in_evacuated_data_centre_is_moved_when_its_worker_drains():
+    region = _region_of_two_data_centres()
+    region.submit(_step(1, 8, label='r1'))
+    region.run_round()
+    worker = next(worker for worker in region.workers if worker.run_by_key)
+    worker.is_draining, worker.is_accepting = True, False
+    worker.drain_deadline_ms = region.now_ms + 1_000
+    plan = region.plan(evacuated={'dc1'})
+    assert [stop.reason for stop in plan.stops] == ['worker draining']
+
+
+def test_nothing_starts_or_stops_while_all_data_centres_are_evacuated():
+    region = _region_of_two_data_centres()
+    region.submit(_step(4, 1))
+    region.run_round()
+    region.submit(_step(2, 4, is_gang=True, is_same_rack=True), priority=0)
+    plan = region.plan(evacuated={'dc1', 'dc2'})
+    assert plan.starts == [] and plan.stops == []
+    assert [item.reason for item in plan.blocked] == ['data centre evacuated']
+
+
+def test_unknown_evacuated_data_centre_changes_no_decision():
+    region = _region_of_two_data_centres()
+    region.submit(_step(20, 1))
+    other = _region_of_two_data_centres()
+    other.submit(_step(20, 1))
+    starts = region.plan(evacuated={'elsewhere'}).starts
+    assert [start.worker.worker for start in starts] == [
+        start.worker.worker for start in other.plan().starts
+    ]
