Start no run in a data centre that was evacuated before its record

A leader that was paused or cut off could record and order a run after the operator's request had been answered. The write that records new runs now has the absence of the key of each of their data centres as a condition. The term follows the keys and plans only once they were read. Runs that have not begun are discarded or stopped with their gangs, and a start is sent only within start_order_valid_ms after the write of its run.

The product's own entries follow loom/evacuations/; other LeaderOptions leave everything off by default.

--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/fleet.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/fleet.py
@@ -82,14 +82,29 @@
             if not run.is_confirmed:
                 run.sent_sequence = 0
 
-    def _is_startable(self, run: ActiveRun) -> bool:
+    def _is_startable(self, run: ActiveRun, now_ms: int) -> bool:
         return (
             self.is_synced
             and run.is_recorded
             and not run.is_inherited
             and not run.sent_sequence
+            and not _is_start_expired(run, now_ms)
         )
 
+    def expired_starts(self, now_ms: int) -> list[ActiveRun]:
+        """Return the runs whose start may not be sent in this session.
+
+        An earlier session may have lost it.
+        """
+        return [
+            run
+            for run in self.capacity.run_by_key.values()
+            if _is_start_expired(run, now_ms)
+            and not run.sent_sequence
+            and not run.is_confirmed
+            and not run.is_stopping
+        ]
+
     def update(self, report: messages.WorkerReport, now_ms: int) -> bool:
         """Apply the worker's capacity and state from a report.
 
@@ -133,7 +148,7 @@
                 if run.is_recorded and key not in self.sent_stops:
                     run.sent_sequence = self.sequence
                     stops.append(messages.RunRef(*key))
-            elif self._is_startable(run):
+            elif self._is_startable(run, now_ms):
                 run.sent_sequence = self.sequence
                 run.sent_ms = now_ms
                 starts.append(_start_message(run))
@@ -165,6 +180,10 @@
     )
 
 
+def _is_start_expired(run: ActiveRun, now_ms: int) -> bool:
+    return 0 < run.start_expires_ms <= now_ms
+
+
 def _start_message(run: ActiveRun) -> messages.StartRun:
     return messages.StartRun(
         run.name,
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/keys.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/keys.py
@@ -6,6 +6,8 @@
 ENTRIES = 'loom/entries/'
 #: Prefix of one record for each job.
 JOBS = 'loom/jobs/'
+#: Prefix of one key for each evacuated data centre, with its name.
+EVACUATIONS = 'loom/evacuations/'
 
 
 def job_key(job_id: str) -> str:
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -29,6 +29,7 @@
 import structlog
 
 from . import decisions
+from . import evacuations
 from . import fleet
 from . import record_cache
 from . import run_table
@@ -69,6 +70,10 @@
         carried out.
     :param ended_job_retention_ms: time for which the record of an ended
         job is kept and its state can be queried.
+    :param evacuation_prefix: prefix of the keys of evacuated data centres;
+        if it is empty, evacuations are not followed.
+    :param start_order_valid_ms: time after the write of a run within which
+        its start may be sent; ``0`` if that is not limited.
     """
 
     plan: PlanOptions = dataclasses.field(default_factory=PlanOptions)
@@ -84,6 +89,8 @@
     waiting_replan_interval_ms: int = 100
     order_ttl_ms: int = 15_000
     ended_job_retention_ms: int = 150_000
+    evacuation_prefix: str = ''
+    start_order_valid_ms: int = 0
 
     @property
     def worker_timeout_ms(self) -> int:
@@ -102,6 +109,8 @@
 
     :param generation: revision of the leader's key in the store.
     :param metrics: counters and histograms of decisions.
+    :ivar evacuation_prefix: prefix of the keys of evacuated data centres;
+        empty if they are not followed.
     :ivar confirmed_ms: time of the last confirmation of the leadership.
     :ivar is_deposed: whether the term is over, usually because another
         leader has superseded this one.
@@ -122,7 +131,13 @@
         self._options = options
         self._planner = JobPlanner(options.plan)
         self._term_started_ms = now_ms
-        self._records = record_cache.JobRecordCache(generation)
+        self.evacuation_prefix = options.evacuation_prefix
+        self._evacuations = evacuations.Evacuations(
+            options.evacuation_prefix, generation
+        )
+        self._records = record_cache.JobRecordCache(
+            generation, options.evacuation_prefix
+        )
         self._decision_log = decisions.DecisionLog()
         self._link_by_key: dict[fleet.WorkerKey, fleet.WorkerLink] = {}
         self._key_by_node: dict[str, fleet.WorkerKey] = {}
@@ -196,6 +211,7 @@
         self._metrics.set_gauge('active_runs', len(self._runs.run_by_key))
         self._metrics.set_gauge('known_jobs', len(self._known_job_ids))
         self._metrics.set_gauge('unwritten_jobs', self._records.dirty_count)
+        self._evacuations.update_gauge(self._metrics)
 
     def next_batch(self) -> record_cache.Batch | None:
         """Return the next write; the previous one must be completed."""
@@ -207,27 +223,58 @@
         reply: store.Written | store.Conflict,
         now_ms: int,
         wall_ms: int,
+        *,
+        first_sent_ms: int | None = None,
+        last_sent_ms: int | None = None,
     ) -> None:
-        """Process the store's reply to a write."""
+        """Process the store's reply to a write.
+
+        :param first_sent_ms: when the write was sent for the first time; by
+            default now.
+        :param last_sent_ms: when the attempt was sent that was answered; by
+            default now.
+        """
+        self._decision_log.wall_ms = wall_ms
         outcome = self._records.complete_batch(batch, reply)
         if outcome.is_deposed:
             self.is_deposed = True
             return
+        if outcome.evacuation_entries:
+            self._metrics.count('evacuation_conflicts_total')
+            self._on_evacuation_change(
+                self._evacuations.apply_conflict(outcome.evacuation_entries),
+                'conflict',
+            )
+        # An earlier attempt has written the records that a conflict shows
+        # as stored.
+        sent_ms = last_sent_ms
+        if isinstance(reply, store.Conflict):
+            sent_ms = first_sent_ms
         for event in outcome.recorded_events:
             if isinstance(event, record_cache.RunRecorded):
-                self._on_run_recorded(event.run)
+                self._on_run_recorded(
+                    event.run, now_ms if sent_ms is None else sent_ms
+                )
             else:
                 self._on_end_recorded(event)
         for job in outcome.changed_jobs:
             self._on_new_or_cancelled_job(job, now_ms, wall_ms)
 
-    def _on_run_recorded(self, run: ActiveRun) -> None:
+    def _on_run_recorded(self, run: ActiveRun, sent_ms: int) -> None:
+        """Let the start of a run be sent.
+
+        :param sent_ms: when the write of its record was sent.
+        """
         run.is_recorded = True
+        if self._options.start_order_valid_ms:
+            run.start_expires_ms = sent_ms + self._options.start_order_valid_ms
         link = self._link_by_key.get(run.incarnation_key)
         if run.is_stopping:
             self._runs.discard(run, 'stopped before the start was sent')
         elif link is None:
             self._runs.discard(run, 'worker was removed')
+        elif link.capacity.data_centre in self._evacuations.names:
+            self._runs.withdraw(run, evacuations.REASON)
         else:
             link.has_pending_orders = True
 
@@ -237,6 +284,56 @@
             link.unrecorded_end_sequences.discard(end.sequence)
             link.has_pending_orders = True
 
+    # Evacuations
+
+    def apply_evacuations(
+        self, entries: list[store.Entry], revision: int, wall_ms: int
+    ) -> bool:
+        """Process a list of the keys of all evacuated data centres.
+
+        :param revision: revision of the store at the time of the read.
+        :return: whether the list was current; a stale one is ignored.
+        """
+        self._decision_log.wall_ms = wall_ms
+        change = self._evacuations.apply_list(entries, revision)
+        self._on_evacuation_change(change, 'list')
+        return not change.is_stale
+
+    def _on_evacuation_change(
+        self, change: evacuations.EvacuationChange, learned_by: str
+    ) -> None:
+        """Log a change, and withdraw the runs that have not begun.
+
+        An inherited run is left to its worker's lists, since its order may
+        have been sent by an earlier leader.
+        """
+        for name, revision in change.ended_by_name.items():
+            self._needs_plan = True
+            _log.info('evacuation ended', data_centre=name, revision=revision)
+        for name, revision in change.begun_by_name.items():
+            self._needs_plan = True
+            links = [
+                link
+                for link in self._link_by_key.values()
+                if link.capacity.data_centre == name
+            ]
+            runs = [
+                run
+                for link in links
+                for run in link.capacity.run_by_key.values()
+            ]
+            _log.info(
+                evacuations.REASON,
+                data_centre=name,
+                revision=revision,
+                learned_by=learned_by,
+                workers=len(links),
+                running=sum(run.is_confirmed for run in runs),
+            )
+            for run in runs:
+                if not (run.is_confirmed or run.is_inherited):
+                    self._runs.withdraw(run, evacuations.REASON)
+
     # Workers
 
     def on_report(
@@ -662,7 +759,7 @@
 
     def plan(self, now_ms: int, wall_ms: int) -> None:
         """Start and stop runs, if a new plan is due."""
-        if self.catalogue is None:
+        if self.catalogue is None or not self._evacuations.is_ready:
             return
         is_starting_up = self._startup.is_in_progress(now_ms)
         if is_starting_up and not (
@@ -699,7 +796,14 @@
             # Workers that have not reported yet may have free resources.
             may_preempt=not is_starting_up,
             max_priority=self._startup.max_priority(now_ms),
+            evacuated=self._evacuations.names,
         )
+        if not is_starting_up:
+            accounts = self.catalogue.account_by_name.values()
+            self._evacuations.check_fleet(
+                capacities,
+                sum(account.guaranteed_accelerators for account in accounts),
+            )
         for stop in plan.stops:
             self._runs.stop(stop.run, stop.reason)
             self._runs.stop_other_members(stop.run, stop.reason)
@@ -754,7 +858,9 @@
             free_accelerators=worker.free_accelerators,
             free_cpu=worker.free_cpu,
         )
-        self._records.mark_dirty(job.job_id, record_cache.RunRecorded(run))
+        self._records.mark_dirty(
+            job.job_id, record_cache.RunRecorded(run, worker.data_centre)
+        )
 
     def take_orders(
         self, now_ms: int
@@ -771,6 +877,8 @@
             )
             if not link.has_pending_orders and not is_heartbeat_due:
                 continue
+            for run in link.expired_starts(now_ms):
+                self._runs.withdraw(run, 'start order expired')
             self._last_sequence += 1
             link_orders = link.take_orders(
                 self.generation,
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/record_cache.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/record_cache.py
@@ -18,9 +18,11 @@
 
 from . import keys
 
-#: Jobs in one transaction: the store allows 32 conditions, writes and
-#: deletions in total. The leader's key takes one, each job takes two.
-MAX_BATCH_JOBS = 15
+#: Conditions, writes and deletions that the store allows in total in one
+#: transaction. The leader's key takes one, each job takes two, and each data
+#: centre in which runs start takes one.
+MAX_TRANSACTION_ITEMS = 32
+_ITEMS_PER_JOB = 2
 #: Longest time for which a new checkpoint is kept in memory only.
 CHECKPOINT_WRITE_DELAY_MS = 3_000
 
@@ -29,9 +31,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunRecorded:
-    """The record of a run is stored; the start may be sent."""
+    """The record of a run is stored; the start may be sent.
+
+    :param data_centre: where the run starts.
+    """
 
     run: ActiveRun
+    data_centre: str = ''
+
+    @property
+    def may_start(self) -> bool:
+        """Whether the start will be sent once the run is recorded."""
+        return not self.run.is_stopping and self.run.task.run == self.run.run
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,6 +81,8 @@
     :param is_deposed: whether another leader has superseded this one.
     :param recorded_events: events whose job records are now stored.
     :param changed_jobs: jobs that a caller has cancelled meanwhile.
+    :param evacuation_entries: keys of evacuated data centres that have
+        rejected the batch.
     """
 
     is_deposed: bool = False
@@ -77,6 +90,9 @@
         default_factory=list
     )
     changed_jobs: list[jobs.Job] = dataclasses.field(default_factory=list)
+    evacuation_entries: list[store.Entry] = dataclasses.field(
+        default_factory=list
+    )
 
 
 @dataclasses.dataclass(slots=True)
@@ -110,10 +126,13 @@
     """Cache of all job records in the store.
 
     :param generation: revision of the leader's key in the store.
+    :param evacuation_prefix: prefix of the keys of evacuated data centres;
+        empty if evacuations are not followed.
     """
 
-    def __init__(self, generation: int) -> None:
+    def __init__(self, generation: int, evacuation_prefix: str = '') -> None:
         self._generation = generation
+        self._evacuation_prefix = evacuation_prefix
         self._cached_by_id: dict[str, _CachedJob] = {}
         self._dirty_ids: dict[str, None] = {}
         self._checkpoint_due_ms_by_id: dict[str, int] = {}
@@ -217,11 +236,15 @@
         self.mark_dirty(job_id)
 
     def next_batch(self) -> Batch | None:
-        """Return the next transaction; the previous must be completed."""
-        job_ids = list(self._dirty_ids)[:MAX_BATCH_JOBS]
+        """Return the next transaction; the previous must be completed.
+
+        It is rejected if a data centre in which runs start is evacuated.
+        """
+        job_ids, evacuation_keys = self._select_for_batch()
         if not job_ids:
             return None
         expected_by_key = {keys.LEADER: self._generation}
+        expected_by_key.update(dict.fromkeys(evacuation_keys, 0))
         value_by_job_id: dict[str, bytes] = {}
         state_by_job_id: dict[str, jobs.JobState] = {}
         deleted_keys = []
@@ -249,6 +272,43 @@
         )
         return Batch(request, value_by_job_id, state_by_job_id)
 
+    def _select_for_batch(self) -> tuple[list[str], set[str]]:
+        """Return the jobs of the next batch.
+
+        :return: their ids, and the keys of evacuations that must be absent.
+        """
+        room = MAX_TRANSACTION_ITEMS - 1
+        job_ids: list[str] = []
+        evacuation_keys: set[str] = set()
+        for job_id in self._dirty_ids:
+            new_keys = self._evacuation_keys_of(job_id) - evacuation_keys
+            needed = _ITEMS_PER_JOB + len(new_keys)
+            if needed <= room:
+                room -= needed
+                job_ids.append(job_id)
+                evacuation_keys |= new_keys
+            elif job_ids:
+                break
+            else:
+                _log.error(
+                    'job starts in too many data centres for one write',
+                    job_id=job_id,
+                    data_centres=len(new_keys),
+                )
+        return job_ids, evacuation_keys
+
+    def _evacuation_keys_of(self, job_id: str) -> set[str]:
+        """Return the keys that must be absent to record a job's new runs."""
+        if not self._evacuation_prefix:
+            return set()
+        return {
+            self._evacuation_prefix + event.data_centre
+            for event in self._cached_by_id[job_id].pending_events
+            if isinstance(event, RunRecorded)
+            and event.data_centre
+            and event.may_start
+        }
+
     def complete_batch(
         self, batch: Batch, reply: store.Written | store.Conflict
     ) -> BatchOutcome:
@@ -258,9 +318,17 @@
             leader = reply.entry_by_key.get(keys.LEADER)
             if leader is None or leader.revision != self._generation:
                 return BatchOutcome(is_deposed=True)
+            outcome.evacuation_entries.extend(
+                entry
+                for key, entry in reply.entry_by_key.items()
+                if key != keys.LEADER and not key.startswith(keys.JOBS)
+            )
         for key in batch.request.expected_by_key:
             if key == keys.LEADER:
                 continue
+            if not key.startswith(keys.JOBS):
+                # The key of an evacuation, which the batch does not write.
+                continue
             job_id = keys.job_id_of(key)
             if isinstance(reply, store.Written):
                 self._mark_stored(job_id, batch, reply.revision, outcome)
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/run_table.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/run_table.py
@@ -157,8 +157,16 @@
 
     def discard(self, run: ActiveRun, reason: str) -> None:
         """Discard a run that cannot have started or is no longer running."""
+        if self._discard_alone(run, reason):
+            self.stop_other_members(run, 'another gang member did not start')
+
+    def _discard_alone(self, run: ActiveRun, reason: str) -> bool:
+        """Discard a run, not the other members of its gang.
+
+        :return: whether the run was still tracked.
+        """
         if run.task.run != run.run:
-            return
+            return False
         self.record_decision(
             'run discarded',
             run,
@@ -166,8 +174,35 @@
         )
         link = self._link_by_key.get(run.incarnation_key)
         self.remove(link, run)
-        self.stop_other_members(run, 'another gang member did not start')
         self._records.mark_dirty(run.job.job_id)
+        return True
+
+    def withdraw(self, run: ActiveRun, reason: str) -> None:
+        """Give up a run that has not begun, and its gang.
+
+        Runs whose start was never sent are discarded, also if their record
+        is not stored yet; the others are stopped.
+
+        :param reason: text for the log; its first word is the label of
+            the metric.
+        """
+        if run.task.run != run.run:
+            return
+        members = [run]
+        if run.step.is_gang:
+            key = run.task.key
+            members = [
+                member
+                for task in run.job.tasks_of(key.repetition, key.step)
+                if task.run is not None and task.run.number == run.run.number
+                for member in [self.find(run.job, task)]
+                if member is not None
+            ]
+        for member in members:
+            if member.sent_ms or member.is_inherited:
+                self.stop(member, reason)
+            else:
+                self._discard_alone(member, reason)
 
     def discard_all_of(self, link: fleet.WorkerLink, reason: str) -> None:
         for run in list(link.capacity.run_by_key.values()):
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/term.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/term.py
@@ -18,6 +18,11 @@
 #: Polling interval for changed job records, in case a notification of the
 #: entry that wrote one was lost; also the timeout of each watch request.
 RECORD_WATCH_INTERVAL_MS = 2_000
+#: Timeout of a watch of the evacuated data centres.
+EVACUATION_WATCH_MS = 1_500
+#: Pause after a failed or stale list of the evacuated data centres, and
+#: before the watch after a failed one, which may fail at once.
+EVACUATION_RETRY_PAUSE_MS = 200
 #: Pause before a write is retried to which the store did not reply.
 WRITE_RETRY_PAUSE_MS = 100
 #: Age from which a confirmation of the leadership is renewed, and interval
@@ -86,6 +91,8 @@
             self._confirm_leadership(),
         ):
             tasks.spawn(coroutine)
+        if self.leader.evacuation_prefix:
+            tasks.spawn(self._follow_evacuations())
 
     def wake(self) -> None:
         """Start the next round of the main loop at once."""
@@ -141,7 +148,7 @@
                 self._writes_due.clear()
                 await self._writes_due.wait()
                 continue
-            started_ms = self._clock.now_ms()
+            first_started_ms = started_ms = self._clock.now_ms()
             answer = await self._store.call(batch.request)
             while answer.is_err() and not leader.is_deposed:
                 await asyncio.sleep(WRITE_RETRY_PAUSE_MS / _MS_PER_S)
@@ -154,6 +161,8 @@
                 t.cast('store.Written | store.Conflict', answer.unwrap()),
                 self._clock.now_ms(),
                 self._clock.wall_ms(),
+                first_sent_ms=first_started_ms,
+                last_sent_ms=started_ms,
             )
             if leader.is_deposed:
                 self._owner.end_term('the store names another leader')
@@ -179,6 +188,51 @@
                 [entry for entry in reply.entries if entry.value]
             )
 
+    async def _follow_evacuations(self) -> None:
+        """Read the evacuated data centres, again after each change."""
+        prefix = self.leader.evacuation_prefix
+        pause_s = EVACUATION_RETRY_PAUSE_MS / _MS_PER_S
+        is_watch_failed = False
+        while not self.leader.is_deposed:
+            answer = await self._store.call(store.ListKeys(prefix))
+            if self.leader.is_deposed:
+                return
+            if answer.is_err():
+                await asyncio.sleep(pause_s)
+                continue
+            reply = answer.unwrap()
+            is_current = self.leader.apply_evacuations(
+                reply.entries, reply.revision, self._clock.wall_ms()
+            )
+            self.wake()
+            if not is_current:
+                await asyncio.sleep(pause_s)
+                continue
+            if is_watch_failed:
+                await asyncio.sleep(pause_s)
+            is_watch_failed = not await self._await_evacuation_event(
+                prefix, reply.revision
+            )
+
+    async def _await_evacuation_event(
+        self, prefix: str, revision: int
+    ) -> bool:
+        """Wait until the evacuations may have changed.
+
+        :param revision: revision of the last list.
+        :return: ``False`` if the watch has failed.
+        """
+        while not self.leader.is_deposed:
+            request = store.WatchPrefix(prefix, revision, EVACUATION_WATCH_MS)
+            answer = await self._store.call(request)
+            if answer.is_err():
+                return False
+            reply = answer.unwrap()
+            if reply.entries:
+                return True
+            revision = max(revision, reply.revision)
+        return True
+
     async def _confirm_leadership(self) -> None:
         """Confirm the leadership while no writes do so.
 
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/process/runner.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/process/runner.py
@@ -34,6 +34,8 @@
 from . import entry_metrics
 from ..jobs import configuration_feed
 from ..jobs import entry as job_entry
+from ..jobs import keys as job_keys
+from ..jobs import leader as job_leader
 from . import settings as entry_settings
 
 TICK_MS = 100
@@ -41,6 +43,11 @@
 WALL_TIME_INTERVAL_MS = 60_000
 #: Pause after draining, before the sessions to peers are closed.
 HANDOVER_GRACE_MS = 200
+#: Time after the write of a run within which its start may be sent. With the
+#: 3,000 ms for which an agent tries to deliver a start, and 500 ms for the
+#: delivery, no task starts later than 5,000 ms after its data centre was
+#: evacuated.
+START_ORDER_VALID_MS = 1_500
 _MS_PER_SECOND = 1_000
 
 _log = structlog.get_logger(__name__)
@@ -146,6 +153,10 @@
                 configuration_feed.ConfigurationFeed,
                 lambda: self.configuration,
             ),
+            job_leader.LeaderOptions(
+                evacuation_prefix=job_keys.EVACUATIONS,
+                start_order_valid_ms=START_ORDER_VALID_MS,
+            ),
             clock=self._clock,
         )
 
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/capacity.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/capacity.py
@@ -63,6 +63,8 @@
     :param last_listed_ms: when the worker last listed it as running.
     :param base_progress: progress at ``base_ms``; more than 0 if the run
         resumed from a checkpoint or was inherited.
+    :param start_expires_ms: time from which its start must not be sent any
+        more; ``0`` if that is not limited.
     """
 
     job: jobs.Job
@@ -81,6 +83,7 @@
     last_progress_ms: int = 0
     last_listed_ms: int = 0
     base_progress: int = 0
+    start_expires_ms: int = 0
 
     #: Time from which on the speed of the run is known.
     base_ms: int = dataclasses.field(init=False)
