Evacuate data centres in the simulation of the job path

Trials evacuate a data centre and take it back, in half of the cases with a change of the leader, and pause leaders, also between the answer to a write and the orders. The oracle rejects a run that begins in a data centre more than 5,000 ms after the store's answer, unless the worker carried the call out late. Trials with fewer kinds of events stay as they were.

Fixed tests show that the write condition alone keeps the bound, that it is violated without the condition when no list is read, and that a leader paused for 6 s violates it without the validity of starts (6 new tests pass).

--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/record_cache.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/record_cache.py
@@ -244,7 +244,7 @@
         if not job_ids:
             return None
         expected_by_key = {keys.LEADER: self._generation}
-        expected_by_key.update(dict.fromkeys(evacuation_keys, 0))
+        expected_by_key.update(dict.fromkeys(sorted(evacuation_keys), 0))
         value_by_job_id: dict[str, bytes] = {}
         state_by_job_id: dict[str, jobs.JobState] = {}
         deleted_keys = []
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/oracle.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/oracle.py
@@ -8,6 +8,11 @@
 from .worker import WorkerStandIn
 
 
+#: Time after the answer to an evacuation from which no task may start in the
+#: data centre.
+EVACUATION_BOUND_MS = 5_000
+
+
 class Violation(AssertionError):
     """An invariant was violated."""
 
@@ -20,6 +25,8 @@
         started again.
     :ivar cancelled_ids: ids of jobs that were cancelled.
     :ivar done_tasks: names of tasks that ended successfully.
+    :ivar evacuated_ms_by_name: evacuated data centres, and when the store
+        answered the request.
     """
 
     def __init__(self) -> None:
@@ -27,6 +34,7 @@
         self.max_attempts = 2
         self.cancelled_ids: set[str] = set()
         self.done_tasks: set[str] = set()
+        self.evacuated_ms_by_name: dict[str, int] = {}
         self._acknowledged_done: set[str] = set()
         self._acknowledged_failures: collections.Counter[str] = (
             collections.Counter()
@@ -62,6 +70,20 @@
                     f'{where}: preceding step {predecessor} is not done'
                 )
 
+    def check_evacuation(
+        self, worker: WorkerStandIn, run: WorkerRun, now_ms: int
+    ) -> None:
+        """Check a run that has just begun, by a call that was not late."""
+        evacuated_ms = self.evacuated_ms_by_name.get(worker.data_centre)
+        if evacuated_ms is None:
+            return
+        after_ms = now_ms - evacuated_ms
+        if after_ms > EVACUATION_BOUND_MS:
+            raise Violation(
+                f'{run.task} run {run.number} on {worker.worker}: started '
+                f'{after_ms} ms after {worker.data_centre} was evacuated'
+            )
+
     def _is_step_done(
         self, job_id: str, repetition: int, step_index: int
     ) -> bool:
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/trials.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/trials.py
@@ -10,16 +10,21 @@
 RECOVERY_PHASE_MS = 60_000
 _MAX_EVENT_INTERVAL_MS = 1_500
 #: Number of kinds of events. The last ones end the ongoing faults.
-EVENT_KINDS = 19
+EVENT_KINDS = 21
+#: Number of kinds from which on trials have evacuations.
+_EVACUATION_EVENT_KINDS = 20
 _RECOVERY_EVENT_KINDS = 2
 
 
-def run_trial(seed: int, event_kinds: int = EVENT_KINDS) -> worlds.World:
+def run_trial(
+    seed: int, event_kinds: int = EVENT_KINDS, *, is_following: bool = True
+) -> worlds.World:
     """Run the trial of one seed.
 
     :param event_kinds: number of kinds of events to choose from. A seed that
         failed when there were fewer kinds is reproduced only with that
         number.
+    :param is_following: whether leaders follow evacuations.
     :raises oracle.Violation: when an invariant is violated.
     """
     world = worlds.World(
@@ -29,6 +34,7 @@
             late_call_share=0.04,
             failing_task_share=0.05,
         ),
+        is_following=(is_following and event_kinds >= _EVACUATION_EVENT_KINDS),
     )
     count = 0
     end_ms = world.now_ms + FAULT_PHASE_MS
@@ -118,6 +124,35 @@
             agent.worker.is_shedding = not agent.worker.is_shedding
         case 16:
             world.faults.lost_call_reply_share = rng.choice([0.0, 0.2])
+        case 17:
+            _change_evacuation(world, agent.worker.data_centre)
+        case 18:
+            _pause_leader(world)
+
+
+def _change_evacuation(world: worlds.World, data_centre: str) -> None:
+    """Evacuate a data centre, or take its evacuation back.
+
+    In some cases, the leader changes at the same time.
+    """
+    if data_centre in world.oracle.evacuated_ms_by_name:
+        world.end_evacuation(data_centre)
+    else:
+        world.evacuate(data_centre)
+    match world.random.randrange(4):
+        case 0:
+            world.take_over()
+        case 1:
+            world.kill_entry(world.entry)
+
+
+def _pause_leader(world: worlds.World) -> None:
+    """Suspend the leader, at once or after the answer to its next write."""
+    pause_ms = world.random.randrange(500, 4_000)
+    if world.random.random() < 0.5:
+        world.entry.pause_after_write_ms = pause_ms
+    else:
+        world.entry.paused_until_ms = world.now_ms + pause_ms
 
 
 def _end_ongoing_faults(world: worlds.World) -> None:
@@ -135,6 +170,8 @@
 def _end_all_faults(world: worlds.World) -> None:
     """End all faults, and stop injecting them into calls."""
     _end_ongoing_faults(world)
+    for data_centre in list(world.oracle.evacuated_ms_by_name):
+        world.end_evacuation(data_centre)
     world.faults.lost_reply_share = 0.0
     world.faults.late_call_share = 0.0
     if world.entry.is_dead:
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/worker.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/worker.py
@@ -73,10 +73,12 @@
         work_of: WorkLookup,
         clock_offset_ms: int = 0,
         lease_limit_ms: int = 6_000,
+        data_centre: str = 'dc',
     ) -> None:
         self.worker = worker
         self.boot = boot
         self.rack = rack
+        self.data_centre = data_centre
         self.cpu_millis = 16_000
         self.memory_mb = 64_000
         self.accelerators = 8
@@ -114,7 +116,7 @@
             self._heartbeat_sequence,
             'service',
             '127.0.0.1:1',
-            'dc',
+            self.data_centre,
             self.rack,
             ('a', self.rack),
             self.cpu_millis,
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/world.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/world.py
@@ -30,6 +30,9 @@
 _WATCH_INTERVAL_MS = 2_000
 _STOP_DURATION_MS = 300
 _TAKEOVER_DELAY_MS = 1_500
+#: Pause before evacuations are read again after a failed read.
+_EVACUATION_RETRY_MS = 200
+_START_ORDER_VALID_MS = 1_500
 
 Action: t.TypeAlias = t.Callable[[], None]
 
@@ -93,7 +96,15 @@
     :ivar revision: revision of the store up to which it has read.
     :ivar batch: write in progress, retried until the store answers it.
     :ivar batch_due_ms: time of the next attempt to write.
+    :ivar batch_sent_ms: time of the first one.
     :ivar watch_due_ms: time of the next read of changes.
+    :ivar evacuation_revision: revision of the last list of evacuations that
+        was requested; ``-1`` before the first.
+    :ivar evacuation_due_ms: earliest time of the next one.
+    :ivar paused_until_ms: time until which the process is suspended.
+    :ivar pause_after_write_ms: length of the pause that begins once the next
+        write is answered, before any order is sent; ``0`` for none.
+    :ivar waiting_reports: reports that wait until it continues.
     :ivar is_dead: whether it was killed, or has stepped down.
     """
 
@@ -104,8 +115,14 @@
     can_reach_agents: bool = True
     batch: t.Any = None
     batch_due_ms: int = 0
+    batch_sent_ms: int = 0
     watch_due_ms: int = 0
     is_dead: bool = False
+    evacuation_revision: int = -1
+    evacuation_due_ms: int = 0
+    paused_until_ms: int = 0
+    pause_after_write_ms: int = 0
+    waiting_reports: list[Action] = dataclasses.field(default_factory=list)
 
 
 class World:
@@ -113,12 +130,26 @@
 
     :param seed: seed of all random choices.
     :param faults: probabilities of injected faults; none by default.
-    :param agents: number of agents, each with one worker.
+    :param agents: number of agents, each with one worker. Each rack of two
+        is a data centre.
+    :param is_following: whether leaders follow evacuations, with the write
+        condition and the validity of starts.
     """
 
     def __init__(
-        self, seed: int, faults: Faults | None = None, agents: int = 4
+        self,
+        seed: int,
+        faults: Faults | None = None,
+        agents: int = 4,
+        *,
+        is_following: bool = True,
     ) -> None:
+        self._leader_options = leaders.LeaderOptions()
+        if is_following:
+            self._leader_options = leaders.LeaderOptions(
+                evacuation_prefix=keys.EVACUATIONS,
+                start_order_valid_ms=_START_ORDER_VALID_MS,
+            )
         self.random = random.Random(seed)
         self.faults = faults or Faults()
         self.now_ms = 1_000_000
@@ -149,6 +180,7 @@
             f'r{index // 2}',
             self._work_of,
             self.random.randrange(100_000),
+            data_centre=f'd{index // 2}',
         )
         supervisor = worker_supervisor.WorkerSupervisor(
             worker_supervisor.WorkerSupervisorOptions(), self.now_ms
@@ -240,7 +272,7 @@
         reply = self.store.handle(request, self.now_ms).unwrap()
         assert isinstance(reply, store.Written)
         leader = leaders.Leader(
-            reply.revision, leaders.LeaderOptions(), self.now_ms
+            reply.revision, self._leader_options, self.now_ms
         )
         leader.catalogue = self.catalogue
         leader.apply_records(
@@ -250,6 +282,21 @@
         for agent in self.agents:
             self._announce_leader(agent, self.entry)
 
+    def evacuate(self, data_centre: str) -> None:
+        """Evacuate a data centre, as the operator does."""
+        key = keys.EVACUATIONS + data_centre
+        # The stand-in of the store takes an empty value for an absent key.
+        request = store.Transact({key: 0}, {key: b'1'})
+        reply = self.store.handle(request, self.now_ms)
+        if reply.is_ok() and isinstance(reply.unwrap(), store.Written):
+            self.oracle.evacuated_ms_by_name[data_centre] = self.now_ms
+
+    def end_evacuation(self, data_centre: str) -> None:
+        """Take the evacuation of a data centre back."""
+        request = store.DeleteMany([keys.EVACUATIONS + data_centre])
+        if self.store.handle(request, self.now_ms).is_ok():
+            self.oracle.evacuated_ms_by_name.pop(data_centre, None)
+
     def _announce_leader(self, agent: _Agent, entry: _Entry) -> None:
         def follow() -> None:
             if agent.is_partitioned or not entry.can_reach_agents:
@@ -281,6 +328,7 @@
             old.rack,
             self._work_of,
             self.random.randrange(100_000),
+            data_centre=old.data_centre,
         )
         agent.heartbeat_due_ms = self.now_ms + self.random.randrange(
             100, 1_000
@@ -428,11 +476,18 @@
             entry, node = agent.leader, agent.node
             if entry.can_reach_agents and not entry.is_dead:
 
-                def deliver() -> None:
+                def handle() -> None:
                     entry.leader.on_report(
                         node, report, self.now_ms, self.now_ms
                     )
 
+                def deliver() -> None:
+                    if entry.paused_until_ms > self.now_ms:
+                        entry.waiting_reports.append(handle)
+                    else:
+                        self._handle_waiting_reports(entry)
+                        handle()
+
                 delay_ms = self.random.randrange(1, 30)
                 due_ms = max(agent.report_due_ms, self.now_ms + delay_ms)
                 agent.report_due_ms = due_ms
@@ -464,7 +519,7 @@
             else:
                 deliver_reply(worker_calls.CallReply(status))
 
-        def execute() -> t.Any:
+        def execute(*, is_late: bool = False) -> t.Any:
             if worker is not agent.worker:
                 return None
             if self._is_shed(worker, call):
@@ -481,6 +536,8 @@
             started = worker.run_by_task.get(call.start.task)
             if started is not None and started is not previous:
                 self.oracle.check_start(worker, started, self.now_ms)
+                if not is_late:
+                    self.oracle.check_evacuation(worker, started, self.now_ms)
             return reply
 
         def execute_and_reply() -> None:
@@ -493,7 +550,10 @@
                 )
 
         if self.random.random() < self.faults.late_call_share:
-            self._after(self.random.randrange(2_000, 12_000), execute)
+            self._after(
+                self.random.randrange(2_000, 12_000),
+                lambda: execute(is_late=True),
+            )
             self._after(_CALL_TIMEOUT_MS, time_out)
         elif self._is_call_reply_lost():
             self._after(self.random.randrange(1, 20), execute)
@@ -517,9 +577,15 @@
         if leader.is_deposed:
             entry.is_dead = True
             return
+        if entry.paused_until_ms > self.now_ms:
+            return
+        self._handle_waiting_reports(entry)
+        self._follow_evacuations(entry)
         leader.tick(self.now_ms, self.now_ms)
         leader.plan(self.now_ms, self.now_ms)
         self._write(entry)
+        if entry.paused_until_ms > self.now_ms:
+            return
         self._watch(entry)
         for agent in self.agents:
             is_reachable = entry.can_reach_agents and not agent.is_partitioned
@@ -553,6 +619,46 @@
 
         self._after(due_ms - self.now_ms, deliver)
 
+    def _handle_waiting_reports(self, entry: _Entry) -> None:
+        while entry.waiting_reports:
+            entry.waiting_reports.pop(0)()
+
+    def _follow_evacuations(self, entry: _Entry) -> None:
+        """Read the evacuations at the start, and after each change.
+
+        Some answers arrive late, and later ones may overtake them.
+        """
+        state, prefix = self.store.state, keys.EVACUATIONS
+        if not entry.leader.evacuation_prefix:
+            return
+        if self.now_ms < entry.evacuation_due_ms:
+            return
+        is_known = entry.evacuation_revision >= 0
+        if is_known and not state.list_changes(
+            prefix, entry.evacuation_revision
+        ):
+            return
+        reply = None
+        if entry.can_reach_store:
+            request = store.ListKeys(prefix)
+            reply = self.store.handle(request, self.now_ms).ok()
+        if reply is None:
+            entry.evacuation_due_ms = self.now_ms + _EVACUATION_RETRY_MS
+            return
+        assert isinstance(reply, store.Entries)
+        entry.evacuation_revision = reply.revision
+
+        def deliver() -> None:
+            if entry.paused_until_ms > self.now_ms:
+                self._after(100, deliver)
+            else:
+                entry.leader.apply_evacuations(
+                    reply.entries, reply.revision, self.now_ms
+                )
+
+        delay_ms = self.random.choice([5, 20, 50, 300, 2_000])
+        self._after(delay_ms, deliver)
+
     def _write(self, entry: _Entry) -> None:
         """Write the next batch, or retry the last one until it succeeds.
 
@@ -563,6 +669,7 @@
         if entry.batch is None:
             entry.batch = leader.next_batch()
             entry.batch_due_ms = self.now_ms
+            entry.batch_sent_ms = self.now_ms
         if entry.batch is None or self.now_ms < entry.batch_due_ms:
             return
         if not entry.can_reach_store:
@@ -587,7 +694,11 @@
             t.cast('store.Written | store.Conflict', reply.unwrap()),
             self.now_ms,
             self.now_ms,
+            first_sent_ms=entry.batch_sent_ms,
+            last_sent_ms=started_ms,
         )
+        entry.paused_until_ms = self.now_ms + entry.pause_after_write_ms
+        entry.pause_after_write_ms = 0
         if not leader.is_deposed:
             leader.confirmed_ms = started_ms
             for job_id in batch.value_by_job_id:
--- a/packages/mulberryloom-standins/tests/test_job_simulation.py
+++ b/packages/mulberryloom-standins/tests/test_job_simulation.py
@@ -1,6 +1,9 @@
 """Tests of the job path under random faults, with regression seeds."""
 
+import dataclasses
+
 from mulberryloom_core.request import jobs
+from mulberryloom_entry.jobs import record_cache
 from mulberryloom_standins.jobs import oracle
 from mulberryloom_standins.jobs import trials
 from mulberryloom_standins.jobs import world as worlds
@@ -225,3 +228,97 @@
     agent = next(a for a in world.agents if a.worker.run_by_task)
     agent.supervisor.on_leave(agent.worker.worker, world.now_ms)
     world.run(20_000)
+
+
+# Guards against an event that the trials inject without any effect.
+def test_trials_without_evacuation_handling_violate_its_bound():
+    with pytest.raises(oracle.Violation, match='was evacuated'):
+        for seed in (1, 2, 6, 8):
+            trials.run_trial(seed, is_following=False)
+
+
+def _submit_for(world, duration_ms):
+    """Submit a job with one short task every 200 ms."""
+    for number in range(duration_ms // 200):
+        world.submit(f'{number:016x}', (_step(),), duration_ms=400)
+        world.run(200)
+
+
+def _world_whose_leader_reads_no_more_lists():
+    world = _world()
+    world.entry.evacuation_due_ms = world.now_ms + 1_000_000
+    return world
+
+
+def test_write_condition_alone_keeps_the_bound_of_evacuations():
+    world = _world_whose_leader_reads_no_more_lists()
+    world.evacuate('d0')
+    _submit_for(world, 9_000)
+    world.run(5_000)
+    world.check_all_ended()
+
+
+def test_bound_of_evacuations_is_violated_without_the_write_condition(
+    monkeypatch,
+):
+    monkeypatch.setattr(
+        record_cache.JobRecordCache,
+        '_evacuation_keys_of',
+        lambda cache, job_id: set(),
+    )
+    world = _world_whose_leader_reads_no_more_lists()
+    world.evacuate('d0')
+    with pytest.raises(oracle.Violation, match='was evacuated'):
+        _submit_for(world, 9_000)
+
+
+# Guards against an order of a leader that was paused between the answer to
+# its write and the order. A pause of 6 s ends after the bound.
+@pytest.mark.parametrize(('valid_ms', 'is_kept'), [(1_500, True), (0, False)])
+def test_paused_leader_keeps_the_bound_by_the_validity_of_starts(
+    valid_ms, is_kept
+):
+    world = _world_whose_leader_reads_no_more_lists()
+    leader = world.entry.leader
+    leader._options = dataclasses.replace(
+        leader._options, start_order_valid_ms=valid_ms
+    )
+    world.entry.pause_after_write_ms = 6_000
+    world.submit('a' * 16, (_step(8),))
+    world.run(100)
+    world.evacuate('d0')
+    world.evacuate('d1')
+    if is_kept:
+        world.run(10_000)
+        assert not any(agent.worker.run_by_task for agent in world.agents)
+    else:
+        with pytest.raises(oracle.Violation, match='was evacuated'):
+            world.run(10_000)
+
+
+def test_work_continues_and_returns_after_an_evacuation():
+    world = _world()
+    world.submit('a' * 16, (_step(30),), duration_ms=60_000)
+    world.run(2_000)
+    running = {
+        task
+        for agent in world.agents
+        if agent.worker.data_centre == 'd0'
+        for task in agent.worker.run_by_task
+    }
+    world.evacuate('d0')
+    world.run(4_000)
+    assert running and running == {
+        task
+        for agent in world.agents
+        if agent.worker.data_centre == 'd0'
+        for task in agent.worker.run_by_task
+    }
+    for number in range(20):
+        world.submit(f'{number:016x}', (_step(),), duration_ms=1_000)
+    world.end_evacuation('d0')
+    world.run(20_000)
+    assert all(
+        world.state_of(f'{number:016x}') is jobs.JobState.COMPLETED
+        for number in range(20)
+    )
