--- a/packages/mulberryloom-entry/tests/test_job_evacuations.py
+++ b/packages/mulberryloom-entry/tests/test_job_evacuations.py
@@ -18,6 +18,7 @@
 import pytest
 from result import Err
 from result import Ok
+import structlog
 
 PREFIX = keys.EVACUATIONS
 VALID_MS = 1_500
@@ -429,6 +430,42 @@
     assert len(region.send()[0]) == 1
 
 
+# Guards against lines that operators look for but that are not written, or
+# are repeated with every plan.
+def test_evacuations_are_logged_and_counted_once(region):
+    account = catalogues.Account('a', frozenset(), 12)
+    region.leader.catalogue = catalogues.Catalogue.from_parts(
+        2, [], [], [account]
+    )
+    with structlog.testing.capture_logs() as lines:
+        region.evacuate('d1')
+        region.evacuate('elsewhere')
+        region.list_evacuations()
+        for _ in range(3):
+            region.plan()
+    by_event = {}
+    for line in lines:
+        by_event.setdefault(line['event'], []).append(line)
+    begun = {
+        line['data_centre']: line for line in by_event[evacuations.REASON]
+    }
+    assert begun['d1']['learned_by'] == 'list'
+    assert (begun['d1']['workers'], begun['d1']['running']) == (1, 0)
+    (unknown,) = by_event['evacuated data centre unknown']
+    assert unknown['data_centre'] == 'elsewhere'
+    (shortage,) = by_event[
+        'guaranteed accelerators while data centres are evacuated'
+    ]
+    assert (shortage['accelerators'], shortage['guaranteed']) == (8, 12)
+    region.leader.update_gauges()
+    gauges = region.leader._metrics.text().splitlines()
+    assert any(
+        line.startswith('evacuated_data_centres')
+        and float(line.split()[-1]) == 2
+        for line in gauges
+    ), [line for line in gauges if 'evacuated' in line]
+
+
 # The record cache
 
 
