Learn the speeds of workers and plan with them

Workers at 0.6, 1.0 and 1.6 times the declared speed were planned as equal, so that gangs of the most urgent queue ended late with their slowest member.

WorkerSpeeds learns one speed for each VM from the progress of runs, compared with the other runs of their step. SpeedTiers and SpeedChoice use them: urgent steps take the fastest workers, and preempt on them rather than end late; other steps take the slowest workers on which they end in time. Expected ends, reservations and the gain of preemptions follow the speeds. While the speeds differ by less than 15 percent and the noise of their estimates, all count as 1.0.

--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/__init__.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/__init__.py
@@ -12,6 +12,7 @@
 from .options import PlanOptions
 from .plan import Plan
 from .planner import JobPlanner
+from .worker_speed import WorkerSpeeds
 
 __all__ = [
     'ActiveRun',
@@ -19,6 +20,7 @@
     'Plan',
     'PlanOptions',
     'WorkerCapacity',
+    'WorkerSpeeds',
     'health',
     'valuation',
 ]
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/capacity.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/capacity.py
@@ -12,6 +12,8 @@
 
 #: Name of a task and number of its run.
 RunKey: t.TypeAlias = tuple[str, int]
+#: Speed of a worker on which tasks take their declared durations.
+NOMINAL_SPEED_PERMILLE = 1_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,6 +65,8 @@
     :param last_listed_ms: when the worker last listed it as running.
     :param base_progress: progress at ``base_ms``; more than 0 if the run
         resumed from a checkpoint or was inherited.
+    :param has_stalled: whether it made no progress for longer than its stall
+        timeout, and went on later.
     """
 
     job: jobs.Job
@@ -81,6 +85,7 @@
     last_progress_ms: int = 0
     last_listed_ms: int = 0
     base_progress: int = 0
+    has_stalled: bool = False
 
     #: Time from which on the speed of the run is known.
     base_ms: int = dataclasses.field(init=False)
@@ -152,6 +157,9 @@
     :param committed_cpu: CPU capacity committed in this planning round, to
         tasks that start and to reservations, in thousandths of a core;
         ``committed_memory`` (MB) and ``committed_accelerators`` likewise.
+    :param vm: name of the VM; empty if it is not known.
+    :param speed_permille: speed relative to the declared durations, in
+        thousandths.
     """
 
     worker: str
@@ -178,6 +186,8 @@
     committed_cpu: int = 0
     committed_memory: int = 0
     committed_accelerators: int = 0
+    vm: str = ''
+    speed_permille: int = NOMINAL_SPEED_PERMILLE
 
     def begin_round(self) -> None:
         """Drop the commitments of the last round and recompute."""
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import itertools
 import typing as t
 
 from mulberryloom_core.request import jobs
@@ -20,6 +21,7 @@
 from .plan import Plan
 from .plan import Start
 from .plan import Stop
+from .preemption import PreemptionPlan
 from .preemption import PreemptionPlanner
 from .relocation import Relocation
 from .reservation import Reservation
@@ -27,6 +29,9 @@
 from .round_state import Backfill
 from .round_state import PendingStep
 from .round_state import RoundState
+from .speed_choice import SpeedChoice
+from .speed_choice import WorkerGroup
+from .speed_tiers import at_speed
 from .urgent_load import UrgentLoad
 
 #: Minimum number of accelerators of a task for which capacity is reserved.
@@ -49,6 +54,7 @@
             options, self._estimator, self._gang_runs
         )
         self._urgent_load = UrgentLoad(options)
+        self._speed_choice = SpeedChoice(self._estimator)
         # By id of the job, repetition and index of the step.
         self._pending_since_by_step: dict[tuple[str, int, int], int] = {}
         # Sum of the costs of all preemptions for an open job.
@@ -259,6 +265,10 @@
                 pending, preferred, state, in_one_rack=in_one_rack
             )
             return
+        if self._awaits_faster_workers(
+            pending, assignment, preferred, state, in_one_rack=in_one_rack
+        ):
+            return
         for task, worker in zip(pending.tasks, assignment, strict=True):
             self._start(state, pending, task, worker)
 
@@ -271,11 +281,80 @@
         in_one_rack: bool,
     ) -> placement.Assignment | None:
         """Return workers with free capacity for all tasks of a gang."""
-        step = pending.step
-        with Backfill(state, self._expected_end_ms(step, state)):
-            return placement.place_gang(
-                step, len(pending.tasks), workers, in_one_rack=in_one_rack
+        choice = self._speed_choice
+        groups: t.Iterable[WorkerGroup] = choice.groups(
+            pending, workers, state
+        )
+        if not choice.is_even:
+            # Most searches find nothing; one on all workers tells.
+            first = choice.all_workers(pending, workers, state)
+            groups = itertools.chain([first], groups)
+        for number, group in enumerate(groups):
+            with Backfill(state, group.end_ms):
+                assignment = placement.place_gang(
+                    pending.step,
+                    len(pending.tasks),
+                    group.workers,
+                    in_one_rack=in_one_rack,
+                )
+            is_trial = number == 0 and not choice.is_even
+            if is_trial == (assignment is None):
+                return assignment
+        return None
+
+    def _awaits_faster_workers(
+        self,
+        pending: PendingStep,
+        assignment: placement.Assignment,
+        workers: list[WorkerCapacity],
+        state: RoundState,
+        *,
+        in_one_rack: bool,
+    ) -> bool:
+        """Whether an urgent step waits rather than end late on slow workers.
+
+        It preempts runs on workers that are fast enough if that pays off,
+        or waits for them if it is expected to end in time nevertheless.
+
+        :param assignment: workers on which it could start now.
+        """
+        job, choice = pending.job, self._speed_choice
+        if choice.is_even or job.terms.priority != 0:
+            return False
+        slowest = min(worker.speed_permille for worker in assignment)
+        if choice.ends_in_time(job, slowest, state):
+            return False
+        fast = choice.in_time_workers(
+            job, workers, state, self._options.stop_grace_ms
+        )
+        if fast and self._preempt(
+            pending, workers, state, in_one_rack, only_on=fast
+        ):
+            state.block(pending, 'waiting for stopping runs to end')
+            return True
+        reservation = self._find_reservation(
+            pending,
+            len(pending.tasks) if pending.step.is_gang else 1,
+            workers,
+            state,
+            in_one_rack=in_one_rack,
+        )
+        if (
+            reservation is not None
+            and reservation.start_ms > state.now_ms
+            and choice.ends_in_time(
+                job,
+                self._estimator.speed_tiers.slowest_of(
+                    reservation.tasks_by_worker
+                ),
+                state,
+                reservation.start_ms - state.now_ms,
             )
+            and self._reserve(pending, workers, state, in_one_rack)
+        ):
+            state.block(pending, 'waiting for faster workers')
+            return True
+        return False
 
     def _place_tasks(
         self,
@@ -288,16 +367,24 @@
             pending.job, pending.repetition, pending.step_index
         )
         preferred = self._preferred_workers(pending, eligible, state)
-        end_ms = self._expected_end_ms(step, state)
-        unplaced = len(pending.tasks)
-        for task in pending.tasks:
-            with Backfill(state, end_ms):
-                worker = placement.place_task(step, preferred, count_by_worker)
-            if worker is None:
-                break
-            count_by_worker[worker.worker] += 1
-            unplaced -= 1
-            self._start(state, pending, task, worker)
+        unplaced = collections.deque(pending.tasks)
+        is_late = False
+        for group in self._speed_choice.groups(pending, preferred, state):
+            while unplaced:
+                with Backfill(state, group.end_ms):
+                    worker = placement.place_task(
+                        step, group.workers, count_by_worker
+                    )
+                if worker is None:
+                    break
+                if group.is_late and not is_late:
+                    is_late = True
+                    if self._awaits_faster_workers(
+                        pending, [worker], preferred, state, in_one_rack=False
+                    ):
+                        return
+                count_by_worker[worker.worker] += 1
+                self._start(state, pending, unplaced.popleft(), worker)
         if unplaced:
             self._preempt_or_reserve(
                 pending, preferred, state, in_one_rack=False
@@ -362,16 +449,16 @@
             pending, count, workers, state, in_one_rack=True
         )
         extra_factor = self._options.spread_factor - 1
-        extra_ms = extra_factor * self._estimator.task_duration_ms(step)
+        extra_ms = extra_factor * at_speed(
+            self._estimator.task_duration_ms(step),
+            self._estimator.speed_tiers.best_permille,
+        )
         return (
             in_one_rack is not None
-            and in_one_rack.start_ms - state.now_ms < extra_ms
+            and in_one_rack.start_ms + in_one_rack.slowdown_ms - state.now_ms
+            < extra_ms
         )
 
-    def _expected_end_ms(self, step: jobs.Step, state: RoundState) -> int:
-        """Return when a task that starts now is expected to end."""
-        return state.now_ms + self._estimator.task_duration_ms(step)
-
     def _start(
         self,
         state: RoundState,
@@ -410,17 +497,23 @@
         workers: list[WorkerCapacity],
         state: RoundState,
         in_one_rack: bool,
+        *,
+        only_on: list[WorkerCapacity] | None = None,
     ) -> bool:
         """Preempt runs for a step of the highest priority, if it pays off.
 
         Guaranteed work preempts unless capacity becomes free soon. For
         other jobs, the preemption costs accumulate and must not exceed the
-        expected gain.
+        expected gain. Workers on which the step ends in time go first.
+
+        :param only_on: workers on which runs may be preempted, for a step
+            that could also start now on others; ``None`` for all. Guaranteed
+            work then preempts like other urgent work.
         """
         job = pending.job
         if job.terms.priority != 0 or not state.may_preempt:
             return False
-        is_guaranteed = job.job_id in state.guaranteed_ids
+        is_guaranteed = only_on is None and job.job_id in state.guaranteed_ids
         spent = self._preemption_cost_by_job.get(job.job_id)
         least_cost = self._options.base_preemption_cost
         # The searches below are left out if they cannot pay off. A job that
@@ -439,25 +532,70 @@
         max_cost = self._max_cost(job, without_preemption, state)
         if is_bounded and least_cost > max_cost:
             return False
+        groups = [workers if only_on is None else only_on]
+        if only_on is None and not self._speed_choice.is_even:
+            fast = self._speed_choice.in_time_workers(
+                job, workers, state, self._options.stop_grace_ms
+            )
+            if 0 < len(fast) < len(workers):
+                groups.insert(0, fast)
+        return any(
+            self._preempt_on(
+                group,
+                pending,
+                len(unstarted),
+                without_preemption,
+                state,
+                in_one_rack=in_one_rack,
+                is_guaranteed=is_guaranteed,
+            )
+            for group in groups
+        )
+
+    def _preempt_on(
+        self,
+        workers: list[WorkerCapacity],
+        pending: PendingStep,
+        count: int,
+        without_preemption: Reservation | None,
+        state: RoundState,
+        *,
+        in_one_rack: bool,
+        is_guaranteed: bool,
+    ) -> bool:
+        """Preempt runs on some workers, if it pays off.
+
+        :param count: number of tasks without a run.
+        :param without_preemption: earliest start without preemption.
+        """
+        job = pending.job
         preemption = self._preemption_planner.find(
             job,
             pending.step,
-            len(unstarted),
+            count,
             workers,
             state.now_ms,
             state.wall_ms,
-            self._ids_above_urgent_work(pending, state),
+            self._ids_above_urgent_work(pending, state)
+            if is_guaranteed
+            else set(),
             in_one_rack=in_one_rack,
         )
         if preemption is None:
             return False
+        spent = self._preemption_cost_by_job.get(job.job_id)
         total_cost = (spent or 0.0) + preemption.cost
         if is_guaranteed:
             if preemption.victims and self._starts_soon(
                 pending, without_preemption, state
             ):
                 return False
-        elif total_cost > max_cost:
+        elif total_cost > self._max_cost(
+            job,
+            without_preemption,
+            state,
+            self._slowdown_ms(pending.step, preemption),
+        ):
             return False
         self._preemption_cost_by_job[job.job_id] = total_cost
         self._preemption_planner.accept(preemption)
@@ -466,6 +604,15 @@
         self._commit(pending.step, preemption.tasks_by_worker, state)
         return True
 
+    def _slowdown_ms(self, step: jobs.Step, preemption: PreemptionPlan) -> int:
+        tiers = self._estimator.speed_tiers
+        if tiers.is_even:
+            return 0
+        return tiers.slowdown_ms(
+            self._estimator.task_duration_ms(step),
+            tiers.slowest_of(preemption.tasks_by_worker),
+        )
+
     def _ids_above_urgent_work(
         self, pending: PendingStep, state: RoundState
     ) -> set[str]:
@@ -487,13 +634,23 @@
         """Whether guaranteed work can start soon without preemption.
 
         Expected ends of runs are inaccurate, so the step waits for them
-        only briefly.
+        only briefly. It does not wait for workers that are too slow for it.
         """
         limit_ms = self._options.preemption_delay_ms
         return (
             without_preemption is not None
             and pending.waited_ms < limit_ms
             and without_preemption.start_ms - state.now_ms <= limit_ms
+            and (
+                self._speed_choice.is_even
+                or self._speed_choice.ends_in_time(
+                    pending.job,
+                    self._estimator.speed_tiers.slowest_of(
+                        without_preemption.tasks_by_worker
+                    ),
+                    state,
+                )
+            )
         )
 
     def _max_cost(
@@ -501,6 +658,7 @@
         job: jobs.Job,
         without_preemption: Reservation | None,
         state: RoundState,
+        slowdown_ms: int = 0,
     ) -> float:
         """Return the highest preemption cost that pays off for a job.
 
@@ -508,16 +666,20 @@
         ends of other runs are inaccurate.
 
         :param without_preemption: earliest start without preemption.
+        :param slowdown_ms: by how much the step takes longer on the workers
+            of the preempted runs than on the fastest workers.
         """
         options = self._options
         deadlines = self._estimator.deadlines(job)
         share_with = deadlines.expected_share(
-            state.wall_ms, options.stop_grace_ms
+            state.wall_ms, options.stop_grace_ms + slowdown_ms
         )
         share_without = 0.0
         if without_preemption is not None:
             wait_ms = max(0, without_preemption.start_ms - state.now_ms)
-            share_without = deadlines.expected_share(state.wall_ms, wait_ms)
+            share_without = deadlines.expected_share(
+                state.wall_ms, wait_ms + without_preemption.slowdown_ms
+            )
         gain = self._estimator.on_time_value(job) * (
             share_with - share_without
         )
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/reservation.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/reservation.py
@@ -5,6 +5,7 @@
 
 import collections
 import dataclasses
+import itertools
 import typing as t
 
 from mulberryloom_core.request import jobs
@@ -27,11 +28,14 @@
 
     :param tasks_by_worker: number of tasks reserved on each worker.
     :param start_ms: expected time at which all of the capacity is free.
+    :param slowdown_ms: by how much the tasks take longer there than on the
+        fastest workers.
     """
 
     step: jobs.Step
     tasks_by_worker: dict[str, int]
     start_ms: int
+    slowdown_ms: int = 0
 
 
 class ReservationFinder:
@@ -61,7 +65,9 @@
         self, step: jobs.Step, worker: WorkerCapacity, now_ms: int
     ) -> None:
         """Count a task that starts in this round as running."""
-        end_ms = now_ms + self._estimator.task_duration_ms(step)
+        end_ms = now_ms + self._estimator.duration_at_ms(
+            step, worker.speed_permille
+        )
         self._starts_by_worker[worker.worker].append((end_ms, step))
         self._ends_by_worker.pop(worker.worker, None)
         self._slots_by_search.clear()
@@ -77,6 +83,8 @@
     ) -> Reservation | None:
         """Return the earliest start, given the expected ends of runs.
 
+        On workers of unequal speed, it is the start with the earliest end.
+
         :param count: number of tasks that start together.
         :param workers: workers that may receive the tasks.
         :param in_one_rack: whether all tasks have to share a rack.
@@ -86,10 +94,34 @@
             for slots in self._slots_of_groups(
                 step, workers, now_ms, in_one_rack
             )
-            for reservation in [_earliest(step, count, slots)]
-            if reservation is not None
+            for reservation in self._candidates(step, count, slots)
         ]
-        return min(reservations, key=lambda item: item.start_ms, default=None)
+        return min(
+            reservations,
+            key=lambda item: item.start_ms + item.slowdown_ms,
+            default=None,
+        )
+
+    def _candidates(
+        self, step: jobs.Step, count: int, slots: list[_Slot]
+    ) -> t.Iterator[Reservation]:
+        """Yield the earliest start on a group of workers.
+
+        There is one for each tier of speed, on its workers and faster ones.
+
+        :param slots: slots of the group, earliest first.
+        """
+        tiers = self._estimator.speed_tiers
+        duration_ms = self._estimator.task_duration_ms(step)
+        for floor in tiers.floors_permille:
+            fast = slots
+            if not tiers.is_even:
+                found = (s for s in slots if tiers.speed_of(s[1]) >= floor)
+                fast = list(itertools.islice(found, count))
+            slowdown_ms = tiers.slowdown_ms(duration_ms, floor)
+            reservation = _earliest(step, count, fast, slowdown_ms)
+            if reservation is not None:
+                yield reservation
 
     def forget_slots(self) -> None:
         """Forget the slots that were found, since free capacity changed."""
@@ -163,15 +195,18 @@
 
 
 def _earliest(
-    step: jobs.Step, count: int, slots: list[_Slot]
+    step: jobs.Step, count: int, slots: list[_Slot], slowdown_ms: int
 ) -> Reservation | None:
     """Return the earliest start on a group of workers, if there is one.
 
     :param slots: slots of the group, earliest first.
+    :param slowdown_ms: by how much the tasks take longer there than on the
+        fastest workers.
     """
     if len(slots) < count:
         return None
     tasks_by_worker: dict[str, int] = {}
     for _, name in slots[:count]:
         tasks_by_worker[name] = tasks_by_worker.get(name, 0) + 1
-    return Reservation(step, tasks_by_worker, slots[count - 1][0])
+    start_ms = slots[count - 1][0]
+    return Reservation(step, tasks_by_worker, start_ms, slowdown_ms)
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/valuation.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/valuation.py
@@ -12,6 +12,8 @@
 from .fleet_shape import FleetShape
 from .gangs import GangRuns
 from .options import PlanOptions
+from .speed_tiers import at_speed
+from .speed_tiers import SpeedTiers
 
 #: Value of a job by its priority, relative to the lowest priority. The
 #: deployments state 4 to 1 between their most and least urgent requests.
@@ -102,9 +104,11 @@
 
     :param options: limits and cost factors.
     :param gang_runs: the active runs of gangs.
+    :ivar speed_tiers: the speeds of the workers in this round.
     """
 
     def __init__(self, options: PlanOptions, gang_runs: GangRuns) -> None:
+        self.speed_tiers = SpeedTiers()
         self._options = options
         self._gang_runs = gang_runs
         self._core_ms_by_id: dict[str, float] = {}
@@ -129,6 +133,7 @@
         self._deadlines_by_id.clear()
         self._gang_remaining_ms_by_run.clear()
         self._fleet.update(workers)
+        self.speed_tiers = SpeedTiers(workers)
         core_ms_by_id = {}
         for job in open_jobs:
             core_ms = self._core_ms_by_id.get(job.job_id)
@@ -173,9 +178,16 @@
         )
 
     def task_duration_ms(self, step: jobs.Step) -> int:
-        """Return the expected duration of one task of a step."""
+        """Return the expected duration of one task of a step.
+
+        It is the duration at the declared speed.
+        """
         return step.estimate_ms or self._options.default_estimate_ms
 
+    def duration_at_ms(self, step: jobs.Step, speed_permille: int) -> int:
+        """Return the expected duration of one task on a worker."""
+        return at_speed(self.task_duration_ms(step), speed_permille)
+
     def run_remaining_ms(self, run: ActiveRun, now_ms: int) -> int:
         """Return the expected time until a run ends.
 
@@ -206,9 +218,9 @@
         done = run.progress - run.base_progress
         if done >= self._options.min_reliable_progress:
             return _extrapolated_ms(run, done, now_ms)
-        expected_ms = (
-            self.task_duration_ms(run.step) * (100 - run.base_progress) // 100
-        )
+        speed_permille = self.speed_tiers.speed_of(run.run.worker)
+        duration_ms = self.duration_at_ms(run.step, speed_permille)
+        expected_ms = duration_ms * (100 - run.base_progress) // 100
         elapsed_ms = max(0, now_ms - run.base_ms)
         return max(expected_ms - elapsed_ms, expected_ms // 4)
 
@@ -235,6 +247,8 @@
     def _remaining_path_ms(self, job: jobs.Job, counts: list[int]) -> int:
         """Return the critical path, with the whole fleet available.
 
+        It is that on the fastest quarter of the workers.
+
         :param counts: tasks of each step that are not done.
         """
         durations_ms = []
@@ -245,7 +259,8 @@
                 duration_ms = int(duration_ms * self._options.spread_factor)
             waves = _wave_count(step, count, fit.slots)
             durations_ms.append(duration_ms * waves)
-        return _longest_path_ms(job, durations_ms)
+        path_ms = _longest_path_ms(job, durations_ms)
+        return at_speed(path_ms, self.speed_tiers.best_permille)
 
     def _remaining_core_ms(self, job: jobs.Job, counts: list[int]) -> float:
         """Return the work of the tasks that are not done.
