Keep learned speeds across leaders in the agents' reports

A new leader knew nothing of the speeds that the last one had learned.

The leader learns from the reports' progress and from ends, sets the speeds before each plan and sends them with its orders. The agent keeps the last one and reports it, from which a new leader starts. A restarted worker keeps the speed of its VM; runs that are stopped or lost are forgotten. Gauges worker_speed_min and worker_speed_max; run planned has speed.

--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
@@ -141,6 +141,8 @@
         self.info: worker_calls.WorkerInfo | None = None
         self.generation = 0
         self._orders_sequence = 0
+        #: Speed of this VM as learned by the leaders, kept for later ones.
+        self._speed_permille = 0
         #: Time of the last report that was echoed by a leader which had
         #: confirmed its leadership.
         self._leader_confirmed_ms = now_ms - options.renewal_window_ms
@@ -336,6 +338,8 @@
         self._leader_confirmed_ms = max(
             self._leader_confirmed_ms, orders.echo_ms
         )
+        if orders.speed_permille:
+            self._speed_permille = orders.speed_permille
         if (orders.worker, orders.boot) != _incarnation(self.info):
             self._has_unreported_changes = True
             return
@@ -850,6 +854,7 @@
                 if end.sequence > self._acknowledged_sequence
             ],
             starting,
+            speed_permille=self._speed_permille,
         )
 
 
--- a/packages/mulberryloom-agent/tests/test_worker_supervisor.py
+++ b/packages/mulberryloom-agent/tests/test_worker_supervisor.py
@@ -118,6 +118,22 @@
     assert report.orders_sequence == 9
 
 
+def test_speed_of_the_vm_is_reported_to_the_next_leader():
+    """A new leader that does not learn it plans on equal workers at first.
+
+    It knows nothing yet, and its first orders say so.
+    """
+    agent = Agent()
+    for generation, speed_permille in ((GENERATION, 620), (GENERATION + 1, 0)):
+        orders = messages.WorkerOrders(
+            generation, 1, 'w', 1, agent.now_ms, 0, [], [], speed_permille
+        )
+        agent.supervisor.on_orders(orders, agent.now_ms)
+        agent.now_ms += 1_000
+        report = agent.supervisor.take_report(agent.now_ms)
+        assert (report.generation, report.speed_permille) == (generation, 620)
+
+
 def test_superseded_orders_still_stop_runs():
     agent = Agent()
     agent.sequence = 8
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/fleet.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/fleet.py
@@ -115,6 +115,7 @@
         now_ms: int,
         *,
         is_leadership_confirmed: bool,
+        speed_permille: int = 0,
     ) -> messages.WorkerOrders:
         """Return the starts and stops that have not been sent yet.
 
@@ -122,6 +123,7 @@
             orders for two incarnations of a worker never share one.
         :param is_leadership_confirmed: whether the agent may renew the
             worker's lease on these orders.
+        :param speed_permille: learned speed of the VM; ``0`` if unknown.
         """
         self.sequence = sequence
         self.sent_ms = now_ms
@@ -149,6 +151,7 @@
             self.recorded_end_sequence,
             starts,
             stops,
+            speed_permille,
         )
 
 
@@ -189,4 +192,6 @@
         report.memory_mb,
         report.accelerators,
     )
-    return WorkerLink(capacity, node, now_ms)
+    link = WorkerLink(capacity, node, now_ms)
+    capacity.vm = link.vm
+    return link
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -26,6 +26,7 @@
 from mulberryloom_policy.jobs import JobPlanner
 from mulberryloom_policy.jobs import plan as plans
 from mulberryloom_policy.jobs import PlanOptions
+from mulberryloom_policy.jobs import WorkerSpeeds
 import structlog
 
 from . import decisions
@@ -121,6 +122,7 @@
         self.confirmed_ms = now_ms
         self._options = options
         self._planner = JobPlanner(options.plan)
+        self._worker_speeds = WorkerSpeeds()
         self._term_started_ms = now_ms
         self._records = record_cache.JobRecordCache(generation)
         self._decision_log = decisions.DecisionLog()
@@ -133,6 +135,7 @@
             self._link_by_key,
             options.plan,
             now_ms,
+            self._worker_speeds,
         )
         self._startup = startup.Startup(options, self._runs, now_ms)
         self._known_job_ids: dict[str, None] = {}
@@ -196,6 +199,9 @@
         self._metrics.set_gauge('active_runs', len(self._runs.run_by_key))
         self._metrics.set_gauge('known_jobs', len(self._known_job_ids))
         self._metrics.set_gauge('unwritten_jobs', self._records.dirty_count)
+        slowest, fastest = self._worker_speeds.range_permille
+        self._metrics.set_gauge('worker_speed_min', slowest)
+        self._metrics.set_gauge('worker_speed_max', fastest)
 
     def next_batch(self) -> record_cache.Batch | None:
         """Return the next write; the previous one must be completed."""
@@ -313,6 +319,7 @@
         link = self._link_by_key.get(key)
         if link is None:
             link = fleet.link_from_report(node, report, now_ms)
+            self._worker_speeds.adopt(link.vm, report.speed_permille, now_ms)
             self._link_by_key[key] = link
             link.capacity.run_by_key.update(
                 self._runs.orphans_by_worker.pop(key, {})
@@ -421,8 +428,12 @@
                 )
             run.last_listed_ms = now_ms
             if item.progress > run.progress:
+                has_stalled = health.is_stalled(run, self._options.plan)
                 run.progress = item.progress
                 run.last_progress_ms = now_ms
+                self._worker_speeds.note_progress(
+                    run, link.capacity, has_stalled=has_stalled
+                )
             if item.checkpoint and item.checkpoint != run.task.checkpoint:
                 self._set_checkpoint(run, item.checkpoint)
                 self._records.mark_checkpointed(run.job.job_id, now_ms)
@@ -478,6 +489,7 @@
             self._set_checkpoint(run, end.checkpoint)
         if run_end is jobs.RunEnd.DONE:
             health.note_success(link.capacity, run)
+            self._worker_speeds.note_done(run, link.capacity, now_ms)
             self._on_run_done(run)
         elif run_end is jobs.RunEnd.FAILED:
             health.note_failure(link.capacity, now_ms, self._options.plan)
@@ -683,6 +695,7 @@
             for link in self._link_by_key.values()
             if link.is_synced
         ]
+        self._worker_speeds.begin_round(capacities)
         found = (self._records.find(job_id) for job_id in self._known_job_ids)
         # A job with an end is final; its tasks need not be looked at.
         open_jobs = [
@@ -753,6 +766,7 @@
             run,
             free_accelerators=worker.free_accelerators,
             free_cpu=worker.free_cpu,
+            speed=worker.speed_permille / 1_000,
         )
         self._records.mark_dirty(job.job_id, record_cache.RunRecorded(run))
 
@@ -777,6 +791,7 @@
                 self._last_sequence,
                 now_ms,
                 is_leadership_confirmed=is_leadership_confirmed,
+                speed_permille=self._worker_speeds.permille_of(link.vm),
             )
             orders.append((link.node, link_orders))
         return orders
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/run_table.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/run_table.py
@@ -11,6 +11,7 @@
 from mulberryloom_policy.jobs import ActiveRun
 from mulberryloom_policy.jobs import PlanOptions
 from mulberryloom_policy.jobs import valuation
+from mulberryloom_policy.jobs import WorkerSpeeds
 
 from . import decisions
 from . import fleet
@@ -24,6 +25,7 @@
     :param decision_log: receives what is decided on a run.
     :param metrics: counts the runs that are stopped.
     :param link_by_key: the workers, owned by the leader.
+    :param worker_speeds: forgets the runs that are stopped or lost.
     :ivar run_by_key: all runs, by task name and run number.
     :ivar orphans_by_worker: orphans, by the worker that may run them.
     :ivar has_changed: whether a run was removed since the last plan.
@@ -38,7 +40,9 @@
         link_by_key: dict[fleet.WorkerKey, fleet.WorkerLink],
         plan_options: PlanOptions,
         now_ms: int,
+        worker_speeds: WorkerSpeeds,
     ) -> None:
+        self._worker_speeds = worker_speeds
         self._records = records
         self._decision_log = decision_log
         self._metrics = metrics
@@ -124,6 +128,7 @@
         if run.is_stopping:
             return
         run.is_stopping = True
+        self._worker_speeds.forget(run)
         self._metrics.count('runs_stopped_total', reason.partition(' ')[0])
         self.record_decision(
             'run stopping',
@@ -179,6 +184,7 @@
 
     def remove(self, link: fleet.WorkerLink | None, run: ActiveRun) -> None:
         run.task.run = None
+        self._worker_speeds.forget(run)
         self.run_by_key.pop(run.key, None)
         self.has_changed = True
         if link is not None:
--- a/packages/mulberryloom-entry/tests/test_job_leader.py
+++ b/packages/mulberryloom-entry/tests/test_job_leader.py
@@ -53,16 +53,22 @@
             found['is_listed'],
             found['is_alive'],
             [
-                messages.RunningTask(TASK, run, found.get('checkpoint', ''), 0)
+                messages.RunningTask(
+                    TASK,
+                    run,
+                    found.get('checkpoint', ''),
+                    found.get('progress', 0),
+                )
                 for run in running
             ],
             list(found.get('ended', ())),
             [],
+            speed_permille=found.get('speed_permille', 0),
         )
         self.leader.on_report(node, report, self.now_ms, self.now_ms)
 
-    def submit(self, *, is_cancelled=False, is_checkpointed=False):
-        step = jobs.Step(1, 1_000, is_checkpointed=is_checkpointed)
+    def submit(self, *, is_cancelled=False, **fields):
+        step = jobs.Step(1, 1_000, **fields)
         spec = jobs.JobSpec('x', (step,))
         job = jobs.Job.from_spec(JOB_ID, spec, jobs.JobTerms('q', 's', 'a'), 0)
         job.is_cancelled = is_cancelled
@@ -391,3 +397,58 @@
     harness.advance()
     harness.advance()
     assert harness.stored_job.task_by_key[jobs.TaskKey(0, 0, 0)].last_run == 2
+
+
+def _sent_speeds(harness):
+    """Return the speeds in the orders of the next second."""
+    harness.now_ms += 1_000
+    harness.advance()
+    return {orders.speed_permille for orders in harness.orders}
+
+
+def test_new_leader_starts_from_the_speed_that_an_agent_reports():
+    harness = LeaderHarness()
+    harness.report(speed_permille=620)
+    assert _sent_speeds(harness) == {620}
+
+
+def test_restarted_worker_keeps_the_speed_of_its_vm():
+    """A new incarnation would be planned as a worker of normal speed."""
+    harness = LeaderHarness()
+    harness.report(speed_permille=620)
+    harness.advance()
+    harness.report(boot=2)
+    assert _sent_speeds(harness) == {620}
+
+
+def _harness_with_slow_run():
+    """Return a leader that has learned from half of a run.
+
+    It is declared to take 5 s and takes about 20 s.
+    """
+    harness = LeaderHarness()
+    harness.report()
+    harness.advance()
+    harness.submit(estimate_ms=5_000)
+    harness.advance()
+    harness.report(running=[1], sequence=harness.orders[0].sequence)
+    for progress in (5, 20, 35, 50):
+        harness.now_ms += 2_500
+        harness.report(
+            running=[1],
+            sequence=harness.orders[0].sequence,
+            progress=progress,
+        )
+    return harness
+
+
+def test_speed_learned_from_progress_is_sent_to_the_agent():
+    (speed,) = _sent_speeds(_harness_with_slow_run())
+    assert 0 < speed < 1_000
+
+
+def test_run_that_is_stopped_teaches_no_speed():
+    """A stopped run may have been disturbed by what caused the stop."""
+    harness = _harness_with_slow_run()
+    harness.submit(is_cancelled=True, estimate_ms=5_000)
+    assert _sent_speeds(harness) == {0}
