Add a load pattern of workers of unequal speed

Trials knew equal workers only. The new pattern has workers at 0.6, 1.0 and 1.6; the members of its gangs work at their own speed and end with the slowest. The benchmark plays it with speeds learned and not learned.

--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/load/__main__.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/load/__main__.py
@@ -1,9 +1,11 @@
 """Command line of the benchmark of jobs with steps."""
 
+import logging
 import time
 
 import defopt
 from mulberryloom_policy import jobs as policy
+import structlog
 
 from . import baselines
 from . import patterns
@@ -14,22 +16,37 @@
     options = policy.PlanOptions(stop_grace_ms=400)
     return {
         'planner': policy.JobPlanner(options),
+        'speeds unknown': policy.JobPlanner(options),
         'shortest first': baselines.ShortestFirst(),
     }
 
 
+def _speeds(name: str) -> policy.WorkerSpeeds | None:
+    if name != 'planner':
+        return None
+    return policy.WorkerSpeeds()
+
+
 def main(*, seeds: int = 3, only: str = '', pattern: str = '') -> None:
     """Compare the job planner with a simple one under all patterns.
 
     :param seeds: number of trials of each pattern.
     :param only: name of the one planner to run; all if empty.
     :param pattern: part of the name of the patterns to play.
+
+    Where workers are of unequal speed, the planner is also played without
+    learning their speeds.
     """
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.WARNING)
+    )
     for load in patterns.ALL_PATTERNS:
         if pattern not in load.name:
             continue
         print(load.name)
         for name in _planners():
+            if name == 'speeds unknown' and not load.speeds:
+                continue
             if only in ('', name):
                 _play(load, name, seeds)
 
@@ -38,7 +55,7 @@
     """Print one line: the figures of a planner over all seeds."""
     started_s = time.perf_counter()
     played = [
-        trials.Trial(load, _planners()[name], seed).run()
+        trials.Trial(load, _planners()[name], seed, _speeds(name)).run()
         for seed in range(seeds)
     ]
     elapsed_s = time.perf_counter() - started_s
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/load/patterns.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/load/patterns.py
@@ -31,6 +31,7 @@
     :param slack_ms: time added to the target duration.
     :param same_rack_share: share of the gangs that are slow across racks.
     :param checkpointed_share: share of the jobs with checkpoints.
+    :param width_spread: standard deviation of the logarithm of the width.
     """
 
     name: str
@@ -50,6 +51,7 @@
     is_gang: bool = True
     same_rack_share: float = 0.0
     checkpointed_share: float = 0.0
+    width_spread: float = 0.8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,11 +81,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Pattern:
-    """A fleet of equal workers and the load on it.
+    """A fleet of workers and the load on it.
 
     :param rack_size: workers in each rack.
     :param guaranteed: accelerators that are guaranteed to each account.
     :param length_ms: time in which jobs arrive.
+    :param speeds: speeds of the workers, in turn; empty if all are equal.
     """
 
     name: str
@@ -96,6 +99,11 @@
     guaranteed: int = 8
     length_ms: int = 34_000
     bursts: tuple[Burst, ...] = ()
+    speeds: tuple[float, ...] = ()
+
+    def speed_of(self, index: int) -> float:
+        """Return the speed of a worker relative to the declared durations."""
+        return self.speeds[index % len(self.speeds)] if self.speeds else 1.0
 
     def build_workers(self) -> list[policy.WorkerCapacity]:
         """Return the workers of the fleet, all of them free."""
@@ -145,7 +153,7 @@
     def _draw(
         self, job_class: JobClass, at_ms: int, rng: random.Random
     ) -> Arrival:
-        width = _log_normal(rng, job_class.width, 0.8)
+        width = _log_normal(rng, job_class.width, job_class.width_spread)
         tasks = min(job_class.max_width, max(1, round(width)))
         task_ms = _log_normal(rng, job_class.task_ms, job_class.spread)
         error = rng.gauss(0, job_class.estimate_error)
@@ -242,4 +250,19 @@
         guaranteed=32,
         bursts=(Burst('companion', 500, 6_500, 2.0),),
     ),
+    Pattern(
+        'workers of unequal speed', 18, 6, 128_000, 512_000,
+        (
+            JobClass(
+                'urgent', 0, 4.0, 0.8, 0.28, 5, 5, 15_000, (1, 2, 4, 8),
+                4_200, 0.3, 0.2, 1.5, 250, width_spread=0.0,
+            ),
+            JobClass(
+                'less urgent', 1, 3.0, 1.05, 0.15, 5, 5, 15_000, (1, 2, 4, 8),
+                14_000, 0.3, 0.2, 3.0, 1_000, checkpointed_share=0.5,
+                width_spread=0.0,
+            ),
+        ),
+        speeds=(0.6, 1.0, 1.6),
+    ),
 )  # fmt: skip
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/load/trial.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/load/trial.py
@@ -73,14 +73,28 @@
 class Trial:
     """Plays the jobs of a pattern against one planner.
 
+    :param speeds: learns the speeds of the workers; ``None`` if the planner
+        is to know nothing of them.
     :ivar credit_by_class: what the jobs of each class earned.
     :ivar lost_core_s: work of stopped runs that was not saved.
     :ivar used_accelerator_ms: sum over all runs.
     """
 
     def __init__(
-        self, pattern: patterns.Pattern, planner: StepPlanner, seed: int
+        self,
+        pattern: patterns.Pattern,
+        planner: StepPlanner,
+        seed: int,
+        speeds: policy.WorkerSpeeds | None = None,
     ) -> None:
+        self._speeds = speeds
+        self._speed_by_worker = {
+            f'w{index}': pattern.speed_of(index)
+            for index in range(pattern.workers)
+        }
+        # Duration of a run's own work, by run. The members of a gang end
+        # with the slowest of them.
+        self._own_ms_by_run: dict[policy.capacity.RunKey, int] = {}
         self._pattern = pattern
         self._planner = planner
         self._rng = random.Random(seed)
@@ -168,6 +182,9 @@
         for worker in self._workers:
             for run in worker.run_by_key.values():
                 self._update_progress(run)
+                self._learn(run, worker)
+        if self._speeds is not None:
+            self._speeds.begin_round(self._workers)
         plan = self._planner.plan(
             list(self._open_jobs.values()),
             self._workers,
@@ -212,6 +229,9 @@
         racks = {self._worker_by_name[r.run.worker].rack for r in runs}
         is_spread = step.is_gang and step.is_same_rack and len(racks) > 1
         factor = SPREAD_FACTOR if is_spread else 1
+        if self._pattern.speeds:
+            self._set_uneven_durations(runs, factor * task_ms)
+            return
         longest_ms = max(
             int(factor * task_ms * self._rng.uniform(0.85, 1.15)) for _ in runs
         )
@@ -226,8 +246,46 @@
             end_ms = self._now_ms + START_DELAY_MS + duration_ms
             self._schedule(end_ms, lambda r=run: self._on_done(r))
 
+    def _set_uneven_durations(
+        self, runs: list[policy.ActiveRun], task_ms: int
+    ) -> None:
+        """Draw durations on workers of unequal speed.
+
+        :param task_ms: mean duration at speed 1.
+        """
+        for run in runs:
+            total_ms = int(task_ms * self._rng.uniform(0.85, 1.15))
+            saved_ms = min(self._saved_ms_by_task[run.name], total_ms)
+            run.base_progress = run.progress = 100 * saved_ms // total_ms
+            speed = self._speed_by_worker[run.run.worker]
+            own_ms = max(100, int((total_ms - saved_ms) / speed))
+            self._own_ms_by_run[run.key] = own_ms
+        longest_ms = max(self._own_ms_by_run[run.key] for run in runs)
+        for run in runs:
+            own_ms = self._own_ms_by_run[run.key]
+            duration_ms = longest_ms if run.step.is_gang else own_ms
+            self._duration_ms_by_run[run.key] = duration_ms
+            end_ms = self._now_ms + START_DELAY_MS + duration_ms
+            self._schedule(end_ms, lambda r=run: self._on_done(r))
+
+    def _learn(
+        self, run: policy.ActiveRun, worker: policy.WorkerCapacity
+    ) -> None:
+        is_new = run.last_progress_ms == self._now_ms > run.started_ms
+        if self._speeds is not None and is_new and not run.is_stopping:
+            self._speeds.note_progress(run, worker, has_stalled=False)
+
     def _update_progress(self, run: policy.ActiveRun) -> None:
         done_ms = max(0, self._now_ms - run.started_ms)
+        if self._pattern.speeds:
+            left = 100 - run.base_progress
+            own_ms = self._own_ms_by_run[run.key]
+            progress = min(100, run.base_progress + left * done_ms // own_ms)
+            run.last_listed_ms = self._now_ms
+            if progress > run.progress:
+                run.progress = progress
+                run.last_progress_ms = self._now_ms
+            return
         duration_ms = self._duration_ms_by_run[run.key]
         progress = min(99, 100 * done_ms // duration_ms)
         run.last_listed_ms = self._now_ms
@@ -239,10 +297,13 @@
         if run.is_stopping:
             return
         run.is_stopping = True
+        if self._speeds is not None:
+            self._speeds.forget(run)
         self.stopped_runs += 1
         done_ms = max(0, self._now_ms - run.started_ms)
         if run.step.is_checkpointed:
-            self._saved_ms_by_task[run.name] += done_ms
+            speed = self._speed_by_worker[run.run.worker]
+            self._saved_ms_by_task[run.name] += int(done_ms * speed)
         else:
             cores = _core_equivalents(run.step)
             self.lost_core_s += cores * done_ms / 1_000
@@ -272,6 +333,10 @@
         if run.is_stopping or run.task.run is not run.run:
             return
         self._remove(run)
+        if self._speeds is not None:
+            worker = self._worker_by_name[run.run.worker]
+            self._speeds.forget(run)
+            self._speeds.note_done(run, worker, self._now_ms)
         run.task.is_done = True
         if run.job.state is jobs.JobState.COMPLETED:
             del self._open_jobs[run.job.job_id]
