--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/preemption.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/preemption.py
@@ -111,8 +111,10 @@
         slots: list[tuple[float, str, list[ActiveRun]]] = []
         for worker in workers:
             slots += self._slots(job, step, worker, now_ms, wall_ms)
-        speed_of = self._estimator.speed_tiers.speed_of
-        slots.sort(key=lambda slot: (slot[0], -speed_of(slot[1])))
+        slots.sort(key=lambda slot: slot[0])
+        tiers = self._estimator.speed_tiers
+        if not tiers.is_even:
+            slots.sort(key=lambda slot: (slot[0], -tiers.speed_of(slot[1])))
         if len(slots) < count:
             return None
         tasks_by_worker: dict[str, int] = {}
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/worker_speed.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/worker_speed.py
@@ -12,6 +12,7 @@
 
 import collections
 import dataclasses
+import itertools
 import math
 import typing as t
 
@@ -64,7 +65,7 @@
 #: Newest samples that are kept for each VM.
 _MAX_SAMPLES_PER_VM = 16
 #: VMs whose speed is computed in one planning round, which bounds its cost.
-_MAX_UPDATES_PER_ROUND = 64
+_MAX_UPDATES_PER_ROUND = 32
 _MIN_LOG_SPEED = math.log(0.2)
 _MAX_LOG_SPEED = math.log(5.0)
 #: Step to which speeds are rounded for decisions and logs, and distance from
@@ -284,17 +285,18 @@
 
     def begin_round(self, workers: t.Iterable[WorkerCapacity]) -> None:
         """Set the speeds of the workers for a planning round."""
-        for vm in list(self._changed_vms)[:_MAX_UPDATES_PER_ROUND]:
+        changed = itertools.islice(self._changed_vms, _MAX_UPDATES_PER_ROUND)
+        for vm in list(changed):
             del self._changed_vms[vm]
             self._update(vm)
         speeds = [
-            (worker, self._speed_by_vm.get(_vm_of(worker)))
+            (worker, self._speed_by_vm.get(worker.vm or worker.worker))
             for worker in workers
         ]
         learned = [
             (speed.compared_log, speed.compared_variance)
             for _, speed in speeds
-            if speed and speed.compared_log is not None
+            if speed is not None and speed.compared_log is not None
         ]
         is_equal = _are_equal(learned)
         for worker, speed in speeds:
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/bench_scale.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/bench_scale.py
@@ -20,6 +20,8 @@
 SATURATED_SIZES = (11, 59, 100, 257)
 GANG_TASKS = 128
 TASKS_PER_JOB = 30
+#: Speeds of the workers, in turn, where they are unequal.
+UNEQUAL_SPEEDS_PERMILLE = (600, 1_000, 1_600)
 
 _CATALOGUE = catalogues.Catalogue.from_parts(
     1,
@@ -92,16 +94,21 @@
     worker.run_by_key[run.key] = run
 
 
-def measure(size: int) -> tuple[int, float, float, float]:
+def measure(
+    size: int, speeds_permille: tuple[int, ...] = (1_000,)
+) -> tuple[int, float, float, float]:
     """Measure planning rounds with one waiting gang.
 
     :param size: number of workers.
+    :param speeds_permille: their speeds, in turn.
     :return: running tasks, median and longest round in milliseconds, and
         memory of workers and jobs in MB.
     """
     rng = random.Random(size)
     tracemalloc.start()
     workers = [_worker(index) for index in range(size)]
+    for index, worker in enumerate(workers):
+        worker.speed_permille = speeds_permille[index % len(speeds_permille)]
     tasks = FULL_TASKS * size // FULL_WORKERS
     running = _start_background_jobs(workers, tasks, rng)
     memory_mb = tracemalloc.get_traced_memory()[0] / 1e6
@@ -180,14 +187,19 @@
 
 
 def main() -> None:
-    """Measure all fleet sizes and print two tables."""
-    print('workers  tasks  round ms (median)  longest  memory MB')
-    for size in SIZES:
-        tasks, median, longest, memory_mb = measure(size)
-        print(
-            f'{size:7}  {tasks:5}  {median:17.1f}  {longest:7.1f}'
-            f'  {memory_mb:9.1f}'
-        )
+    """Measure all fleet sizes and print the tables."""
+    for title, speeds_permille in (
+        ('equal workers', (1_000,)),
+        ('workers of unequal speed', UNEQUAL_SPEEDS_PERMILLE),
+    ):
+        print(title)
+        print('workers  tasks  round ms (median)  longest  memory MB')
+        for size in SIZES:
+            tasks, median, longest, memory_mb = measure(size, speeds_permille)
+            print(
+                f'{size:7}  {tasks:5}  {median:17.1f}  {longest:7.1f}'
+                f'  {memory_mb:9.1f}'
+            )
     print('full, as many jobs waiting as there are workers')
     print('workers  tasks  waiting  round ms (median)  longest')
     for size in SATURATED_SIZES:
