--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/speed_tiers.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/speed_tiers.py
@@ -7,8 +7,8 @@
 
 #: Workers whose speed is within this factor of the fastest one of their tier
 #: share the tier. Speeds are rounded to 0.1; below 1.3, each makes a tier.
-#: With 0.85, urgent gangs met slow workers of which one run was known: 101 instead
-#: of 115 of 194 were in time in the load trials.
+#: With 0.85, urgent gangs met slow workers of which one run was known: 101
+#: instead of 115 of 194 were in time in the load trials.
 _TIER_FACTOR = 0.92
 #: The fastest workers that make up one part in this many of the fleet give
 #: the speed at which a job can be expected to run.
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/worker_speed.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/worker_speed.py
@@ -283,34 +283,43 @@
         speed = self._speed_by_vm.get(vm)
         return speed.permille if speed and speed.is_learned else 0
 
-    def begin_round(self, workers: t.Iterable[WorkerCapacity]) -> None:
+    def begin_round(self, workers: t.Sequence[WorkerCapacity]) -> None:
         """Set the speeds of the workers for a planning round."""
         changed = itertools.islice(self._changed_vms, _MAX_UPDATES_PER_ROUND)
         for vm in list(changed):
             del self._changed_vms[vm]
             self._update(vm)
-        speeds = [
-            (worker, self._speed_by_vm.get(worker.vm or worker.worker))
-            for worker in workers
-        ]
-        learned = [
-            (speed.compared_log, speed.compared_variance)
-            for _, speed in speeds
-            if speed is not None and speed.compared_log is not None
-        ]
-        is_equal = _are_equal(learned)
-        for worker, speed in speeds:
+        is_equal = self._are_equal(workers)
+        for worker in workers:
+            speed = self._speed_by_vm.get(worker.vm or worker.worker)
             worker.speed_permille = (
                 NOMINAL_SPEED_PERMILLE
                 if is_equal or speed is None
                 else speed.rounded_permille
             )
-        used = [worker.speed_permille for worker, _ in speeds]
+        used = [worker.speed_permille for worker in workers]
         self.range_permille = (
             min(used, default=NOMINAL_SPEED_PERMILLE),
             max(used, default=NOMINAL_SPEED_PERMILLE),
         )
 
+    def _are_equal(self, workers: t.Iterable[WorkerCapacity]) -> bool:
+        """Whether the speeds of a fleet count as equal."""
+        log_speeds = []
+        variance = 0.0
+        for worker in workers:
+            speed = self._speed_by_vm.get(worker.vm or worker.worker)
+            if speed is not None and speed.compared_log is not None:
+                log_speeds.append(speed.compared_log)
+                variance += speed.compared_variance
+        if not log_speeds:
+            return True
+        log_speeds.sort()
+        left_out = int(_OUTLIER_SHARE * len(log_speeds))
+        spread = log_speeds[-1 - left_out] - log_speeds[left_out]
+        noise = _PERCENTILE_SPREAD * math.sqrt(variance / len(log_speeds))
+        return spread < math.log(EQUAL_FLEET_FACTOR) + noise
+
     def _update(self, vm: str) -> None:
         speed = self._speed_by_vm[vm]
         before = speed.fitted_log
@@ -434,18 +443,3 @@
 
 def _clamped(log_speed: float) -> float:
     return min(_MAX_LOG_SPEED, max(_MIN_LOG_SPEED, log_speed))
-
-
-def _are_equal(learned: list[tuple[float, float]]) -> bool:
-    """Whether the speeds of a fleet count as equal.
-
-    :param learned: logarithms of all learned speeds, and their variances.
-    """
-    if not learned:
-        return True
-    log_speeds = sorted(log_speed for log_speed, _ in learned)
-    left_out = int(_OUTLIER_SHARE * len(learned))
-    spread = log_speeds[-1 - left_out] - log_speeds[left_out]
-    variance = sum(variance for _, variance in learned) / len(learned)
-    noise = _PERCENTILE_SPREAD * math.sqrt(variance)
-    return spread < math.log(EQUAL_FLEET_FACTOR) + noise
