--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -26,6 +26,7 @@
 from mulberryloom_policy.jobs import JobPlanner
 from mulberryloom_policy.jobs import plan as plans
 from mulberryloom_policy.jobs import PlanOptions
+from mulberryloom_policy.jobs import WorkerSpeeds
 import structlog
 
 from . import decisions
@@ -130,6 +131,7 @@
         self.confirmed_ms = now_ms
         self._options = options
         self._planner = JobPlanner(options.plan)
+        self._worker_speeds = WorkerSpeeds()
         self._term_started_ms = now_ms
         self.evacuation_prefix = options.evacuation_prefix
         self._evacuations = evacuations.Evacuations(
@@ -148,6 +150,7 @@
             self._link_by_key,
             options.plan,
             now_ms,
+            self._worker_speeds,
         )
         self._startup = startup.Startup(options, self._runs, now_ms)
         self._known_job_ids: dict[str, None] = {}
@@ -212,6 +215,9 @@
         self._metrics.set_gauge('known_jobs', len(self._known_job_ids))
         self._metrics.set_gauge('unwritten_jobs', self._records.dirty_count)
         self._evacuations.update_gauge(self._metrics)
+        slowest, fastest = self._worker_speeds.range_permille
+        self._metrics.set_gauge('worker_speed_min', slowest)
+        self._metrics.set_gauge('worker_speed_max', fastest)
 
     def next_batch(self) -> record_cache.Batch | None:
         """Return the next write; the previous one must be completed."""
@@ -410,6 +416,7 @@
         link = self._link_by_key.get(key)
         if link is None:
             link = fleet.link_from_report(node, report, now_ms)
+            self._worker_speeds.adopt(link.vm, report.speed_permille, now_ms)
             self._link_by_key[key] = link
             link.capacity.run_by_key.update(
                 self._runs.orphans_by_worker.pop(key, {})
@@ -517,7 +524,16 @@
                     run,
                     after_ms=now_ms - run.started_ms,
                 )
-            run.record_listing(item.progress, listed_ms, now_ms)
+            if item.progress > run.progress:
+                has_stalled = health.is_stalled(
+                    run, self._options.plan, is_worker_unresponsive=False
+                )
+                run.record_listing(item.progress, listed_ms, now_ms)
+                self._worker_speeds.note_progress(
+                    run, link.capacity, has_stalled=has_stalled
+                )
+            else:
+                run.record_listing(item.progress, listed_ms, now_ms)
             if item.checkpoint and item.checkpoint != run.task.checkpoint:
                 self._set_checkpoint(run, item.checkpoint)
                 self._records.mark_checkpointed(run.job.job_id, now_ms)
@@ -573,6 +589,7 @@
             self._set_checkpoint(run, end.checkpoint)
         if run_end is jobs.RunEnd.DONE:
             health.note_success(link.capacity, run)
+            self._worker_speeds.note_done(run, link.capacity, now_ms)
             self._on_run_done(run)
         elif run_end is jobs.RunEnd.FAILED:
             health.note_failure(link.capacity, now_ms, self._options.plan)
@@ -778,6 +795,7 @@
             for link in self._link_by_key.values()
             if link.is_synced
         ]
+        self._worker_speeds.begin_round(capacities)
         found = (self._records.find(job_id) for job_id in self._known_job_ids)
         # A job with an end is final; its tasks need not be looked at.
         open_jobs = [
@@ -855,6 +873,7 @@
             run,
             free_accelerators=worker.free_accelerators,
             free_cpu=worker.free_cpu,
+            speed=worker.speed_permille / 1_000,
         )
         self._records.mark_dirty(
             job.job_id, record_cache.RunRecorded(run, worker.data_centre)
@@ -883,6 +902,7 @@
                 self._last_sequence,
                 now_ms,
                 is_leadership_confirmed=is_leadership_confirmed,
+                speed_permille=self._worker_speeds.permille_of(link.vm),
             )
             orders.append((link.node, link_orders))
         return orders
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/capacity.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/capacity.py
@@ -12,6 +12,8 @@
 
 #: Name of a task and number of its run.
 RunKey: t.TypeAlias = tuple[str, int]
+#: Speed of a worker on which tasks take their declared durations.
+NOMINAL_SPEED_PERMILLE = 1_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,8 +60,6 @@
     :param sent_sequence: sequence number of the last orders that carried
         its start or its stop; ``0`` for none.
     :param progress: percentage of the work that is done.
-    :param last_progress_ms: time of the last increase of the progress; before
-        the first one, of the start or its confirmation.
     :param last_progress_ms: when the planner learned of its progress.
     :param last_listed_ms: latest time from which a list of the worker shows
         it as running. A report may repeat an older list.
@@ -69,6 +69,8 @@
         resumed from a checkpoint or was inherited.
     :param start_expires_ms: time from which its start must not be sent any
         more; ``0`` if that is not limited.
+    :param has_stalled: whether it made no progress for longer than its stall
+        timeout, and went on later.
     """
 
     job: jobs.Job
@@ -89,6 +91,7 @@
     progress_listed_ms: int = 0
     base_progress: int = 0
     start_expires_ms: int = 0
+    has_stalled: bool = False
 
     #: Time from which on the speed of the run is known.
     base_ms: int = dataclasses.field(init=False)
@@ -184,6 +187,9 @@
         ``committed_memory`` (MB) and ``committed_accelerators`` likewise.
     :param warm_ms: time from which the worker is warm; before, it is slow
         since it was started a short time ago.
+    :param vm: name of the VM; empty if it is not known.
+    :param speed_permille: speed relative to the declared durations, in
+        thousandths.
     """
 
     worker: str
@@ -224,6 +230,9 @@
         if left_ms or self.warm_ms > now_ms:
             self.warm_ms = now_ms + left_ms
 
+    vm: str = ''
+    speed_permille: int = NOMINAL_SPEED_PERMILLE
+
     def begin_round(self) -> None:
         """Drop the commitments of the last round and recompute."""
         self.committed_cpu = 0
