--- a/packages/mulberryloom-entry/tests/test_job_leader.py
+++ b/packages/mulberryloom-entry/tests/test_job_leader.py
@@ -419,6 +419,90 @@
     assert harness.stored_job.task_by_key[jobs.TaskKey(0, 0, 0)].last_run == 2
 
 
+class GangHarness:
+    """A leader that runs a gang, one member on each of some workers."""
+
+    def __init__(self, members):
+        self.now_ms = 10_000
+        self.members = members
+        self.leader = leaders.Leader(GENERATION, leaders.LeaderOptions(), 0)
+        self.leader.catalogue = CATALOGUE
+        self.sequence = 0
+        for member in range(members):
+            self.report(member)
+        step = jobs.Step(members, 1_000, 0, 8, is_gang=True)
+        spec = jobs.JobSpec('x', (step,))
+        job = jobs.Job.from_spec(JOB_ID, spec, jobs.JobTerms('q', 's', 'a'), 0)
+        entry = store.Entry(keys.job_key(JOB_ID), job_records.encode(job), 101)
+        self.leader.apply_records([entry], self.now_ms, self.now_ms)
+        self.started = self.advance()
+        for member in range(members):
+            self.report(
+                member,
+                [
+                    messages.RunningTask(t, 1, '', 0)
+                    for t in self.started[f'w{member}']
+                ],
+            )
+
+    def report(self, member, running=(), ended=()):
+        report = messages.WorkerReport(
+            f'w{member}', 1, 's', 'dc', 'r', ['a', 'r'], 16_000, 16_000, 8,
+            False, 0, GENERATION, self.sequence, self.now_ms, True, True,
+            list(running), list(ended), [],
+        )  # fmt: skip
+        self.leader.on_report(
+            f'vm{member}.1', report, self.now_ms, self.now_ms
+        )
+
+    def advance(self):
+        """Plan, store the records, and return the starts by worker."""
+        self.now_ms += 50
+        self.leader.confirmed_ms = self.now_ms
+        self.leader.plan(self.now_ms, self.now_ms)
+        batch = self.leader.next_batch()
+        if batch is not None:
+            self.sequence += 1
+            reply = store.Written(200 + self.sequence)
+            self.leader.complete_batch(batch, reply, self.now_ms, self.now_ms)
+        orders = self.leader.take_orders(self.now_ms)
+        self.sequence = max([self.sequence, *(o.sequence for _, o in orders)])
+        return {
+            o.worker: [s.task for s in o.starts] for _, o in orders if o.starts
+        }
+
+    def end(self, member, how):
+        (task,) = self.started[f'w{member}']
+        self.report(member, (), [messages.EndedTask(1, task, 1, how, '')])
+
+
+def _restarts(harness):
+    """Return the number of tasks that start within the next second."""
+    count = 0
+    for _ in range(20):
+        count += sum(len(tasks) for tasks in harness.advance().values())
+    return count
+
+
+def test_gang_restarts_at_once_if_all_members_but_a_silent_one_are_broken():
+    """A crashed worker kept its gang waiting for its lease, 12 s."""
+    harness = GangHarness(3)
+    harness.end(0, 'broken')
+    harness.end(1, 'broken')
+    assert _restarts(harness) == 3
+
+
+@pytest.mark.parametrize(
+    'ends', [{0: 'broken'}, {0: 'broken', 1: 'failed'}, {0: 'stopped'}]
+)
+def test_silent_gang_member_may_run_if_another_one_broke_the_gang(ends):
+    """It would run twice if its worker is only cut off."""
+    harness = GangHarness(3)
+    for member, how in ends.items():
+        harness.end(member, how)
+    assert _restarts(harness) == 0
+
+
 def test_warm_up_of_worker_is_kept_on_the_clock_of_the_planner():
     """The end must outlast the warm-up: runs begun before it end later."""
     harness = LeaderHarness()
