Add load patterns of skewed accounts and memory-bound tasks

The benchmark knew equal accounts and tasks of a sixteenth of a worker's memory only. It reports jobs in time by account where accounts are skewed.

--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/load/__main__.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/load/__main__.py
@@ -77,6 +77,38 @@
         f'{1_000 * elapsed_s / plans:.1f} ms a plan',
         flush=True,
     )
+    if load.account_skew:
+        print(f'  {"":15} {_by_account(load, played)}', flush=True)
+
+
+def _by_account(load: patterns.Pattern, played: list[trials.Trial]) -> str:
+    """Return the shares of jobs in time, by account and of the worst tenth.
+
+    Accounts without jobs in a trial do not count among its worst.
+    """
+    shares = []
+    for index in range(load.accounts):
+        credits = [t.credit_by_account[f'account-{index}'] for t in played]
+        in_time = sum(c.in_time for c in credits)
+        count = in_time + sum(c.late + c.lost for c in credits)
+        shares.append(f'{in_time / max(1, count):.2f} of {count}')
+    worst = [_worst_tenth(trial) for trial in played]
+    return (
+        f'in time by account: {", ".join(shares)}; worst tenth '
+        f'{sum(worst) / len(worst):.3f} of '
+        f'[{" ".join(f"{share:.2f}" for share in worst)}]'
+    )
+
+
+def _worst_tenth(trial: trials.Trial) -> float:
+    """Return the mean share in time of the worst tenth of the accounts."""
+    shares = sorted(
+        credit.in_time_share
+        for credit in trial.credit_by_account.values()
+        if credit.owed
+    )
+    worst = shares[: max(1, len(shares) // 10)]
+    return sum(worst) / len(worst)
 
 
 def _mean_share(played: list[trials.Trial], name: str) -> float:
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/load/patterns.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/load/patterns.py
@@ -32,6 +32,8 @@
     :param same_rack_share: share of the gangs that are slow across racks.
     :param checkpointed_share: share of the jobs with checkpoints.
     :param width_spread: standard deviation of the logarithm of the width.
+    :param memory_mb: memory per task, drawn uniformly; a sixteenth of a
+        worker's if empty.
     """
 
     name: str
@@ -52,6 +54,7 @@
     same_rack_share: float = 0.0
     checkpointed_share: float = 0.0
     width_spread: float = 0.8
+    memory_mb: tuple[int, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,6 +87,8 @@
     """A fleet of workers and the load on it.
 
     :param rack_size: workers in each rack.
+    :param account_skew: exponent by which the load of an account falls with
+        its rank; ``0`` for accounts with equal load.
     :param guaranteed: accelerators that are guaranteed to each account.
     :param length_ms: time in which jobs arrive.
     :param speeds: speeds of the workers, in turn; empty if all are equal.
@@ -96,6 +101,7 @@
     memory_mb: int
     classes: tuple[JobClass, ...]
     accounts: int = 4
+    account_skew: float = 0.0
     guaranteed: int = 8
     length_ms: int = 34_000
     bursts: tuple[Burst, ...] = ()
@@ -158,11 +164,14 @@
         task_ms = _log_normal(rng, job_class.task_ms, job_class.spread)
         error = rng.gauss(0, job_class.estimate_error)
         accelerators = rng.choice(job_class.accelerators)
+        memory_mb = self.memory_mb // 16
+        if job_class.memory_mb:
+            memory_mb = rng.choice(job_class.memory_mb)
         fits = self.workers * (8 // accelerators)
         step = jobs.Step(
             tasks,
             job_class.cpu_millis,
-            self.memory_mb // 16,
+            memory_mb,
             accelerators,
             max(100, int(task_ms * math.exp(error))),
             is_gang=job_class.is_gang and 1 < tasks <= fits // 2,
@@ -172,7 +181,7 @@
         terms = jobs.JobTerms(
             job_class.name,
             SERVICE,
-            f'account-{rng.randrange(self.accounts)}',
+            f'account-{self._draw_account(rng)}',
             job_class.priority,
             3,
             job_class.stretch,
@@ -186,6 +195,13 @@
         )
         return Arrival(at_ms, job, int(task_ms), job_class)
 
+    def _draw_account(self, rng: random.Random) -> int:
+        if not self.account_skew:
+            return rng.randrange(self.accounts)
+        ranks = range(1, self.accounts + 1)
+        weights = [rank**-self.account_skew for rank in ranks]
+        return rng.choices(range(self.accounts), weights)[0]
+
 
 def _log_normal(rng: random.Random, mean: float, spread: float) -> float:
     return rng.lognormvariate(math.log(mean) - spread**2 / 2, spread)
@@ -224,6 +240,34 @@
     )  # fmt: skip
 
 
+def _memory_bound_classes(factor: float) -> tuple[JobClass, ...]:
+    """Return classes of which one takes over half of a worker's memory.
+
+    The rates are for 59 workers of 8 accelerators.
+
+    :param factor: of the arrivals per second; at 1 the jobs ask for 0.9 of
+        the accelerators.
+    """
+    sizes = (1, 2, 4, 8, 8)
+    return (
+        JobClass(
+            'typeset', 1, 3.0, 0.9, 0.65 * factor, 6, 45, 52_000, sizes,
+            10_000, 0.25, 0.3, 3.0, 1_000, same_rack_share=0.6,
+            checkpointed_share=0.5, memory_mb=(270_000,),
+        ),
+        JobClass(
+            'companion', 0, 4.0, 0.8, 1.0 * factor, 5, 32, 15_000, sizes,
+            4_500, 0.1, 0.2, 1.5, 250, same_rack_share=0.8,
+            memory_mb=(44_000, 79_000),
+        ),
+        JobClass(
+            'proof', 2, 1.0, 0.3, 0.25 * factor, 39, 230, 11_000, (1,),
+            14_000, 0.1, 0.4, 3.0, 3_000, is_gang=False,
+            checkpointed_share=0.5, memory_mb=(33_000,),
+        ),
+    )  # fmt: skip
+
+
 ALL_PATTERNS = (
     Pattern(
         'small fleet, few jobs', 11, 3, 128_000, 256_000,
@@ -265,4 +309,29 @@
         ),
         speeds=(0.6, 1.0, 1.6),
     ),
+    Pattern(
+        'skewed accounts', 30, 6, 128_000, 512_000,
+        _classes((0.297, 5), (0.746, 5.3), (0.269, 16), 12_200, 17_000),
+        accounts=10,
+        account_skew=1.2,
+        guaranteed=12,
+        bursts=tuple(
+            Burst(name, 9_000, 15_000, 2.0)
+            for name in ('typeset', 'companion', 'proof')
+        ),
+    ),
+    Pattern(
+        'memory-bound gangs at 0.7 of capacity', 59, 8, 128_000, 512_000,
+        _memory_bound_classes(0.78),
+        accounts=10,
+        guaranteed=16,
+        bursts=(Burst('companion', 9_000, 15_000, 2.0),),
+    ),
+    Pattern(
+        'memory-bound gangs at capacity', 59, 8, 128_000, 512_000,
+        _memory_bound_classes(1.1),
+        accounts=10,
+        guaranteed=16,
+        bursts=(Burst('companion', 9_000, 15_000, 2.0),),
+    ),
 )  # fmt: skip
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/load/trial.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/load/trial.py
@@ -69,6 +69,12 @@
         """Share of the owed value that was earned."""
         return self.earned / self.owed if self.owed else 1.0
 
+    @property
+    def in_time_share(self) -> float:
+        """Share of the jobs that completed in time."""
+        count = self.in_time + self.late + self.lost
+        return self.in_time / count if count else 1.0
+
 
 class Trial:
     """Plays the jobs of a pattern against one planner.
@@ -76,6 +82,7 @@
     :param speeds: learns the speeds of the workers; ``None`` if the planner
         is to know nothing of them.
     :ivar credit_by_class: what the jobs of each class earned.
+    :ivar credit_by_account: what the jobs of each account earned.
     :ivar lost_core_s: work of stopped runs that was not saved.
     :ivar used_accelerator_ms: sum over all runs.
     """
@@ -127,6 +134,9 @@
         self._next_plan_ms = START_MS
         self._is_changed = True
         self.credit_by_class = {c.name: Credit() for c in pattern.classes}
+        self.credit_by_account = {
+            account: Credit() for account in self._catalogue.account_by_name
+        }
         self.lost_core_s = 0.0
         self.used_accelerator_ms = 0
         self.stopped_runs = 0
@@ -282,10 +292,7 @@
             left = 100 - run.base_progress
             own_ms = self._own_ms_by_run[run.key]
             progress = min(100, run.base_progress + left * done_ms // own_ms)
-            run.last_listed_ms = self._now_ms
-            if progress > run.progress:
-                run.progress = progress
-                run.last_progress_ms = self._now_ms
+            run.record_listing(progress, self._now_ms, self._now_ms)
             return
         duration_ms = self._duration_ms_by_run[run.key]
         progress = min(99, 100 * done_ms // duration_ms)
@@ -344,20 +351,21 @@
 
     def _credit(self, job: jobs.Job) -> None:
         arrival = self._arrival_by_id[job.job_id]
-        job_class = arrival.job_class
-        credit = self.credit_by_class[job_class.name]
-        size = self._size_factor(arrival)
-        credit.owed += job_class.value * size
         target_ms = self._target_ms(arrival)
         took_ms = self._now_ms - arrival.at_ms
-        if took_ms <= target_ms:
-            credit.earned += job_class.value * size
-            credit.in_time += 1
-        elif took_ms <= CUTOFF_FACTOR * target_ms:
-            credit.earned += job_class.late_value * size
-            credit.late += 1
-        else:
-            credit.lost += 1
+        value = arrival.job_class.value * self._size_factor(arrival)
+        for credit in self._credits_of(arrival):
+            credit.owed += value
+            if took_ms <= target_ms:
+                credit.earned += value
+                credit.in_time += 1
+            elif took_ms <= CUTOFF_FACTOR * target_ms:
+                credit.earned += (
+                    arrival.job_class.late_value * self._size_factor(arrival)
+                )
+                credit.late += 1
+            else:
+                credit.lost += 1
 
     def _credit_unfinished(self) -> None:
         """Count unfinished jobs whose target has passed as lost.
@@ -368,10 +376,17 @@
             arrival = self._arrival_by_id[job_id]
             if arrival.at_ms + self._target_ms(arrival) > self._now_ms:
                 continue
-            credit = self.credit_by_class[arrival.job_class.name]
-            value = arrival.job_class.value
-            credit.owed += value * self._size_factor(arrival)
-            credit.lost += 1
+            value = arrival.job_class.value * self._size_factor(arrival)
+            for credit in self._credits_of(arrival):
+                credit.owed += value
+                credit.lost += 1
+
+    def _credits_of(self, arrival: patterns.Arrival) -> tuple[Credit, Credit]:
+        """Return the credits of the class and of the account of a job."""
+        return (
+            self.credit_by_class[arrival.job_class.name],
+            self.credit_by_account[arrival.job.terms.account],
+        )
 
     def _target_ms(self, arrival: patterns.Arrival) -> int:
         step = arrival.job.spec.steps[0]
