--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/fleet.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/fleet.py
@@ -7,12 +7,15 @@
 from mulberryloom_core import messages
 from mulberryloom_policy.jobs import ActiveRun
 from mulberryloom_policy.jobs import WorkerCapacity
+import structlog
 
 #: Worker id and start of its incarnation, Unix milliseconds.
 WorkerKey: t.TypeAlias = tuple[str, int]
 #: Task name and run number.
 RunKey: t.TypeAlias = tuple[str, int]
 
+_log = structlog.get_logger(__name__)
+
 
 @dataclasses.dataclass(slots=True)
 class WorkerLink:
@@ -36,6 +39,8 @@
     :param unknown_runs: runs on the worker that the leader does not track;
         they are stopped.
     :param sent_stops: runs whose stop was sent in this session.
+    :param is_logged_unresponsive: whether the last log line on it said that
+        its runs stand still.
     """
 
     capacity: WorkerCapacity
@@ -50,6 +55,7 @@
     unrecorded_end_sequences: set[int] = dataclasses.field(default_factory=set)
     unknown_runs: set[RunKey] = dataclasses.field(default_factory=set)
     sent_stops: set[RunKey] = dataclasses.field(default_factory=set)
+    is_logged_unresponsive: bool = False
 
     @property
     def key(self) -> WorkerKey:
@@ -68,6 +74,21 @@
             return min(self.unrecorded_end_sequences) - 1
         return self.last_end_sequence
 
+    def log_responsiveness(self) -> None:
+        """Log whether the worker's runs stand still, when it has changed."""
+        is_unresponsive = self.capacity.is_unresponsive
+        if is_unresponsive == self.is_logged_unresponsive:
+            return
+        self.is_logged_unresponsive = is_unresponsive
+        _log.info(
+            'worker unresponsive'
+            if is_unresponsive
+            else 'worker responsive again',
+            worker=self.capacity.worker,
+            boot=self.capacity.boot,
+            running=len(self.capacity.run_by_key),
+        )
+
     def reset_session(self, node: str) -> None:
         """Start a new session.
 
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -213,6 +213,10 @@
         """Update the leader's gauges."""
         links = self._link_by_key.values()
         self._metrics.set_gauge('workers', len(links))
+        self._metrics.set_gauge(
+            'unresponsive_workers',
+            sum(link.capacity.is_unresponsive for link in links),
+        )
         self._metrics.set_gauge('active_runs', len(self._runs.run_by_key))
         self._metrics.set_gauge('known_jobs', len(self._known_job_ids))
         self._metrics.set_gauge('unwritten_jobs', self._records.dirty_count)
@@ -828,6 +832,8 @@
                 capacities,
                 sum(account.guaranteed_accelerators for account in accounts),
             )
+        for link in self._link_by_key.values():
+            link.log_responsiveness()
         for stop in plan.stops:
             self._runs.stop(stop.run, stop.reason)
             self._runs.stop_other_members(stop.run, stop.reason)
