--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -32,7 +32,6 @@
 from . import decisions
 from . import evacuations
 from . import fleet
-from . import gang_ends
 from . import record_cache
 from . import run_table
 from . import startup
@@ -161,7 +160,6 @@
         # Number of the last failed run of each gang. The failures of several
         # members count as one failed attempt.
         self._failed_run_by_gang: dict[tuple[str, int, int], int] = {}
-        self._gang_ends = gang_ends.GangEnds()
         self.batch_in_flight = False
 
     # Jobs and their records
@@ -602,10 +600,6 @@
             self._on_run_failed(run)
         if run_end is not jobs.RunEnd.DONE:
             self._runs.stop_other_members(run, 'another gang member ended')
-        if self._gang_ends.proves_end_of_last(run, run_end):
-            self._runs.discard_other_members(
-                run, 'all other gang members are broken'
-            )
         event = record_cache.EndRecorded(
             link.capacity.worker, link.capacity.boot, end.sequence
         )
@@ -773,7 +767,6 @@
         if job is None:
             del self._known_job_ids[job_id]
             self._decision_log.forget(job_id)
-            self._gang_ends.forget(job_id)
             return
         retention_ms = self._options.ended_job_retention_ms
         if not job.ended_ms or wall_ms - job.ended_ms <= retention_ms:
@@ -782,7 +775,6 @@
             self._records.delete(job_id)
             del self._known_job_ids[job_id]
             self._decision_log.forget(job_id)
-            self._gang_ends.forget(job_id)
 
     def plan(self, now_ms: int, wall_ms: int) -> None:
         """Start and stop runs, if a new plan is due."""
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/run_table.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/run_table.py
@@ -150,27 +150,15 @@
 
     def stop_other_members(self, run: ActiveRun, reason: str) -> None:
         """Stop the runs of the other members, if the run is in a gang."""
-        for other in self._other_members(run):
-            self.stop(other, reason)
-
-    def discard_other_members(self, run: ActiveRun, reason: str) -> None:
-        """Discard the runs of the other members, which have ended."""
-        for other in self._other_members(run):
-            self._discard_alone(other, reason)
-
-    def _other_members(self, run: ActiveRun) -> list[ActiveRun]:
-        """Return the active runs of the other members of a run's gang."""
         if not run.step.is_gang:
-            return []
+            return
         key = run.task.key
-        found = [
-            self.find(run.job, task)
-            for task in run.job.tasks_of(key.repetition, key.step)
-            if task.run is not None and task.run.number == run.run.number
-        ]
-        return [
-            other for other in found if other is not None and other is not run
-        ]
+        for task in run.job.tasks_of(key.repetition, key.step):
+            if task.run is None or task.run.number != run.run.number:
+                continue
+            other = self.find(run.job, task)
+            if other is not None and other is not run:
+                self.stop(other, reason)
 
     def discard(self, run: ActiveRun, reason: str) -> None:
         """Discard a run that cannot have started or is no longer running."""
