Let a gang wait for one rack only briefly beside ample room

Cause: a gang that takes longer across racks waits for one rack as long as it is expected to end earlier there, up to twice its duration, also when most of the fleet is idle.

Change: while runs use under half of the fleet and the gang fits twice over, it waits 2 s at most.

Result: the new test fails on the code before; policy and load tests pass.

--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/capacity.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/capacity.py
@@ -265,6 +265,14 @@
             self.free_cpu, self.free_memory, self.free_accelerators
         )
 
+    def idle_capacity(self) -> FreeCapacity:
+        """Return a copy of the capacity that no run occupies."""
+        return FreeCapacity(
+            self.free_cpu + self.committed_cpu,
+            self.free_memory + self.committed_memory,
+            self.free_accelerators + self.committed_accelerators,
+        )
+
     def occupy(self, step: jobs.Step, count: int = 1) -> None:
         """Subtract tasks of a step from the free capacity.
 
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/options.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/options.py
@@ -52,6 +52,9 @@
     :param max_rack_wait_ms: how long guaranteed work waits for capacity in
         the preferred rack, or for a gang in one rack, before it uses other
         racks.
+    :param max_idle_wait_ms: how long any gang waits for capacity in one rack
+        while more than half of the fleet is idle. Deployments require that a
+        job starts within 3 s then.
     :param max_reservations: steps for which capacity is reserved at the
         same time.
     :param least_share_of_others: share of the fleet on which work that is
@@ -76,5 +79,6 @@
     urgent_stall_timeout_ms: int = 1_300
     drain_margin_ms: int = 500
     max_rack_wait_ms: int = 1_200
+    max_idle_wait_ms: int = 2_000
     max_reservations: int = 2
     least_share_of_others: float = 0.125
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/placement.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/placement.py
@@ -91,6 +91,31 @@
     return max(total_by_rack.values(), default=0) >= count
 
 
+def have_ample_room(
+    step: jobs.Step, count: int, workers: t.Iterable[WorkerCapacity]
+) -> bool:
+    """Whether most of a fleet is idle and fits the tasks twice over.
+
+    It is mostly idle if runs use under half of its accelerators and cores.
+    Capacity that is committed in this round counts as idle.
+    """
+    slots = 0
+    accelerators = idle_accelerators = cpu_millis = idle_cpu = 0
+    for worker in workers:
+        slots += worker.idle_capacity().fitting_count(step)
+        accelerators += worker.accelerators
+        cpu_millis += worker.cpu_millis
+        idle_accelerators += (
+            worker.free_accelerators + worker.committed_accelerators
+        )
+        idle_cpu += worker.free_cpu + worker.committed_cpu
+    return (
+        slots >= 2 * count
+        and 2 * idle_accelerators > accelerators
+        and 2 * idle_cpu > cpu_millis
+    )
+
+
 def _pack(
     step: jobs.Step,
     count: int,
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
@@ -454,11 +454,15 @@
 
         Across racks it takes longer, and so much more of the fleet: it waits
         as long as it is expected to end earlier in one rack. Guaranteed work
-        waits no longer than its guarantee allows.
+        waits no longer than its guarantee allows, and no work waits for long
+        while most of the fleet is idle.
         """
         step, count = pending.step, len(pending.tasks)
         if not placement.fits_one_rack(step, count, workers):
             return False
+        is_wait_over = pending.waited_ms >= self._options.max_idle_wait_ms
+        if is_wait_over and placement.have_ample_room(step, count, workers):
+            return False
         if pending.job.job_id in state.guaranteed_ids:
             return pending.waited_ms < self._max_rack_wait_ms(pending, state)
         in_one_rack = self._find_reservation(
--- a/packages/mulberryloom-policy/tests/test_job_planner.py
+++ b/packages/mulberryloom-policy/tests/test_job_planner.py
@@ -585,6 +585,38 @@
     assert len(region.run_round(700).stops) == 8
 
 
+def _region_without_an_idle_rack(racks):
+    """Return a region in which one of three workers of each rack is busy."""
+    region = Region(
+        [
+            _worker(f'{rack}-{index}', f'r{rack}')
+            for rack in range(racks)
+            for index in range(3)
+        ]
+    )
+    for worker in region.workers[::3]:
+        job = region.submit(_step(1, 8, estimate_ms=15_000))
+        (task,) = job.task_by_key.values()
+        region.start_run(job, task, worker)
+    return region
+
+
+@pytest.mark.parametrize(('racks', 'is_started'), [(4, True), (2, False)])
+def test_gang_waits_for_one_rack_only_briefly_in_an_idle_fleet(
+    racks, is_started
+):
+    """A gang waited for 6 s at the end of a day, with most workers idle."""
+    region = _region_without_an_idle_rack(racks)
+    gang = _step(3, 8, is_gang=True, is_same_rack=True)
+    region.submit(gang)
+    assert region.run_round().starts == []
+    for worker in region.workers[::3]:
+        for run in worker.run_by_key.values():
+            _set_progress(run, 13, 0, region.now_ms + 2_000)
+    assert region.run_round(1_900).starts == []
+    assert bool(region.run_round(200).starts) == is_started
+
+
 def test_urgent_gang_beyond_guarantee_waits_for_one_rack():
     region = Region([_worker(1, 'r1'), _worker(2, 'r1'), _worker(3, 'r2')])
     region.submit(_step(1, 8, estimate_ms=4_000), priority=0)
