Start guaranteed work on slow workers before its guarantee runs out

Cause: an urgent step that would end late on the free, slow workers waits for faster ones, as long as it still ends in time there. For guaranteed work that could exceed the time in which all of its tasks have to start.

Change: guaranteed work waits for faster workers for 1.2 s at most.

--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
@@ -329,12 +329,17 @@
 
         It preempts runs on workers that are fast enough if that pays off,
         or waits for them if it is expected to end in time nevertheless.
+        Guaranteed work has to start within its guarantee, whatever the speed.
 
         :param assignment: workers on which it could start now.
         """
         job, choice = pending.job, self._speed_choice
         if choice.is_even or job.terms.priority != 0:
             return False
+        is_guaranteed = job.job_id in state.guaranteed_ids
+        limit_ms = self._options.urgent_preemption_delay_ms
+        if is_guaranteed and pending.waited_ms >= limit_ms:
+            return False
         slowest = min(worker.speed_permille for worker in assignment)
         if choice.ends_in_time(job, slowest, state):
             return False
--- a/packages/mulberryloom-policy/tests/test_worker_speed.py
+++ b/packages/mulberryloom-policy/tests/test_worker_speed.py
@@ -410,6 +410,22 @@
     assert plan.starts == []
 
 
+def test_guaranteed_gang_does_not_wait_for_fast_workers_beyond_its_guarantee():
+    """Stops of preempted runs may take longer than a guarantee allows."""
+    fleet = _uneven_fleet(0.6, 1.6)
+    step = _gang(1, 8, is_checkpointed=True, estimate_ms=60_000)
+    (run,) = fleet.start_job([fleet.workers[1]], step)
+    fleet.now_ms += 500
+    _urgent(fleet, _gang(2, 4))
+    planner = policy.JobPlanner(policy.PlanOptions())
+    assert [stop.run for stop in fleet.plan(planner).stops] == [run]
+    run.is_stopping = True
+    fleet.now_ms += 1_100
+    assert fleet.plan(planner).starts == []
+    fleet.now_ms += 200
+    assert _started_on(fleet.plan(planner)) == ['w0', 'w0']
+
+
 def test_urgent_gang_starts_slowly_rather_than_at_a_high_cost():
     """Work without checkpoints is worth more than being in time."""
     fleet = _uneven_fleet(0.6, 1.6)
