Let learned speeds count only where workers differ by half

Change: speeds count as 1.0 while the 90th percentile exceeds the 10th by less than 50 percent, instead of 15. Workers at 0.6, 1.0 and 1.6 differ by far more.

Result: tests of speeds, planner, leader, load and simulation pass.

--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/worker_speed.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/worker_speed.py
@@ -37,7 +37,7 @@
 #: While the 90th percentile of the speeds exceeds the 10th by less than this
 #: factor, all speeds count as 1.0, since decisions on equal fleets must not
 #: depend on noise.
-EQUAL_FLEET_FACTOR = 1.15
+EQUAL_FLEET_FACTOR = 1.5
 #: Standard deviation of the logarithms of the durations of a step's tasks.
 _TASK_DEVIATION = 0.1
 #: Distance of the 10th and the 90th percentile of a normal distribution, in
