--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/capacity.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/capacity.py
@@ -220,7 +220,7 @@
     warm_ms: int = 0
 
     def set_warmup_left(self, left_ms: int, now_ms: int) -> None:
-        """Record for how long the worker stays slow.
+        """Record the rest of the warm-up that a worker reports.
 
         The end of the last warm-up is kept, since runs that have started
         before it are expected to end later.
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/warmup.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/warmup.py
@@ -9,8 +9,8 @@
 from .capacity import WorkerCapacity
 
 #: A run ends later by the time on a cold worker divided by this. A heartbeat
-#: says for how long a worker is slow, not how slow; half of the usual speed is
-#: assumed, at which half of that time is lost.
+#: tells the duration of the warm-up but not its speed; half of the usual speed
+#: is assumed, at which half of that time is lost.
 _WARMUP_PER_LOST_TIME = 2
 
 
