Tell crashes of workers from planned exchanges

Change: an agent that was running all the while knows whether its worker had drained, and how long each run was there. It logs 'worker crashed', and its reports name the lost runs for 30 s, also to later leaders. The leader logs and counts (worker_crashes_total). No decision depends on it yet.

Measured: tests of the agent, the leader and the core pass; the new four fail without the change, since reports have no such field.

--- /dev/null
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/crash_history.py
@@ -0,0 +1,115 @@
+"""Crashes of a VM's worker, and the runs that were lost by them.
+
+A worker that exits as planned drains first. One that is replaced without
+having drained has crashed, provided that its agent process was running all the
+while: after a loss of power of the VM, or a restart of the agent, nothing is
+known of the end of the earlier worker.
+"""
+
+import dataclasses
+import typing as t
+
+from mulberryloom_core import messages
+import structlog
+
+#: Task name and run number.
+RunKey: t.TypeAlias = tuple[str, int]
+#: Time for which crashes are reported: leaders that are elected meanwhile
+#: learn of them, too.
+REPORTED_MS = 30_000
+
+_log = structlog.get_logger(__name__)
+
+
+@dataclasses.dataclass(slots=True)
+class _TrackedRun:
+    """A run that may be on the worker.
+
+    :param since_ms: when its start was first sent or, if an earlier process
+        of the agent sent it, when it was first listed.
+    :param is_listed: whether the worker has listed it.
+    """
+
+    since_ms: int
+    is_listed: bool = False
+
+
+class CrashHistory:
+    """Tracks the runs on a worker, and those that recent crashes ended.
+
+    :param order_ttl_ms: time after which a start that was sent and that the
+        worker does not list cannot be carried out any more.
+    """
+
+    def __init__(self, order_ttl_ms: int) -> None:
+        self._order_ttl_ms = order_ttl_ms
+        self._run_by_key: dict[RunKey, _TrackedRun] = {}
+        self._answered_ms = 0
+        self._crashed_runs: list[tuple[int, messages.CrashedRun]] = []
+
+    def note_start(self, key: RunKey, now_ms: int) -> None:
+        """Track a run whose start is sent."""
+        self._run_by_key.setdefault(key, _TrackedRun(now_ms))
+
+    def forget_unlisted(self, key: RunKey) -> None:
+        """Stop to track a run that has not begun and cannot begin."""
+        run = self._run_by_key.get(key)
+        if run is not None and not run.is_listed:
+            del self._run_by_key[key]
+
+    def note_answer(self, now_ms: int) -> None:
+        """Note that the worker has carried out a call."""
+        self._answered_ms = now_ms
+
+    def note_lists(
+        self,
+        running: t.Iterable[RunKey],
+        ended: t.Iterable[RunKey],
+        now_ms: int,
+    ) -> None:
+        """Apply the worker's lists of runs."""
+        self.note_answer(now_ms)
+        listed = set(running)
+        for key in listed:
+            run = self._run_by_key.setdefault(key, _TrackedRun(now_ms))
+            run.is_listed = True
+        over = set(ended)
+        for key, run in list(self._run_by_key.items()):
+            is_lost = now_ms - run.since_ms > self._order_ttl_ms
+            if key not in listed and (run.is_listed or is_lost or key in over):
+                del self._run_by_key[key]
+
+    def end_incarnation(
+        self, worker: str, boot: int, now_ms: int, *, is_planned: bool
+    ) -> None:
+        """Note that another incarnation has taken a worker's place.
+
+        :param worker: the earlier worker; ``boot`` is its start.
+        :param is_planned: whether it had announced its exit.
+        """
+        runs = [
+            messages.CrashedRun(
+                worker, boot, *key, max(0, self._answered_ms - run.since_ms)
+            )
+            for key, run in self._run_by_key.items()
+        ]
+        self._run_by_key.clear()
+        if is_planned:
+            return
+        _log.warning(
+            'worker crashed',
+            worker=worker,
+            boot=boot,
+            silent_ms=now_ms - self._answered_ms,
+            age_ms_by_task={run.task: run.age_ms for run in runs},
+        )
+        self._crashed_runs += [(now_ms, run) for run in runs]
+
+    def recent(self, now_ms: int) -> list[messages.CrashedRun]:
+        """Return the runs that were lost by crashes a short time ago."""
+        self._crashed_runs = [
+            (noted_ms, run)
+            for noted_ms, run in self._crashed_runs
+            if now_ms - noted_ms < REPORTED_MS
+        ]
+        return [run for _, run in self._crashed_runs]
--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
@@ -13,6 +13,7 @@
 from mulberryloom_core import messages
 import structlog
 
+from . import crash_history
 from . import progress_monitor
 from . import worker_calls
 
@@ -159,6 +160,7 @@
         self._running: tuple[messages.RunningTask, ...] = ()
         self._ended: tuple[messages.EndedTask, ...] = ()
         self._progress = progress_monitor.ProgressMonitor()
+        self._crashes = crash_history.CrashHistory(options.order_ttl_ms)
         #: When the call was sent that returned the lists.
         self._lists_requested_ms = 0
         #: Whether the lists were read from this incarnation of the worker
@@ -250,6 +252,11 @@
         """Discard everything known about an earlier incarnation."""
         if self.info is not None:
             self._earlier_incarnations.add(_incarnation(self.info))
+            self._crashes.end_incarnation(
+                *_incarnation(self.info),
+                now_ms,
+                is_planned=self.info.is_draining or self._is_leaving,
+            )
         is_restarted = self.info and self.info.worker == info.worker
         self._is_replaced = False
         self._last_reply_boot = 0
@@ -512,6 +519,11 @@
         self._ended = reply.ended
         self._lists_requested_ms = sent_ms
         self._has_current_lists = True
+        self._crashes.note_lists(
+            _run_keys(self._running),
+            {(end.task, end.run_number) for end in self._ended},
+            now_ms,
+        )
         self._resolve_listed_starts()
         if self._has_unacknowledged_ends() or is_standing_still:
             self._hold_due_ms = now_ms + self._options.poll_interval_ms
@@ -572,6 +584,8 @@
             return
         pending.is_in_flight = False
         status = reply.status
+        if status is worker_calls.CallStatus.DONE:
+            self._crashes.note_answer(now_ms)
         _log.info(
             'start call returned',
             task=call.start.task,
@@ -589,6 +603,8 @@
                 pending.unanswered_attempts += 1
             return
         if status not in _FINAL_START_STATUSES:
+            if not pending.unanswered_attempts:
+                self._crashes.forget_unlisted(key)
             self._abandon_start(key, now_ms)
         else:
             del self._pending_start_by_key[key]
@@ -615,6 +631,7 @@
         pending.is_in_flight = False
         if reply.status is worker_calls.CallStatus.DONE:
             del self._pending_stop_by_key[key]
+            self._crashes.forget_unlisted(key)
             self._confirming_hold_id_by_key[key] = self._last_hold_id + 1
             self._hold_due_ms = min(self._hold_due_ms, now_ms)
             return
@@ -638,6 +655,7 @@
                 if not self._can_renew(now_ms):
                     continue
                 self._mark_sent(pending)
+                self._crashes.note_start(key, now_ms)
                 self._start_ttl_end_ms_by_key[key] = (
                     now_ms + self._options.order_ttl_ms
                 )
@@ -870,6 +888,7 @@
             ),
             lists_age_ms=now_ms - self._lists_requested_ms,
             speed_permille=self._speed_permille,
+            crashed_runs=self._crashes.recent(now_ms),
         )
 
 
--- a/packages/mulberryloom-agent/tests/test_worker_supervisor.py
+++ b/packages/mulberryloom-agent/tests/test_worker_supervisor.py
@@ -1,5 +1,6 @@
 """Tests of the agent's worker state: orders, replies and leases."""
 
+from mulberryloom_agent.jobs import crash_history
 from mulberryloom_agent.jobs import worker_calls
 from mulberryloom_agent.jobs import worker_supervisor
 from mulberryloom_core import messages
@@ -689,3 +690,53 @@
         for after in (0, 1_000, 2_000)
     ]
     assert left_ms == [1_500, 500, 0]
+
+
+def _crashed_runs_after_replacement(*, is_planned):
+    """Replace a worker 40 ms after it has listed a run; return the report."""
+    agent = Agent()
+    agent.order(starts=[START])
+    (start,) = agent.calls(worker_calls.StartCall)
+    agent.now_ms += 40
+    agent.supervisor.on_start_reply(
+        start, worker_calls.CallReply(DONE), agent.now_ms
+    )
+    agent.hold(running=[1])
+    if is_planned:
+        agent.supervisor.on_heartbeat(
+            _info(sequence=2, is_draining=True), agent.now_ms
+        )
+    agent.now_ms += 3_300
+    agent.supervisor.on_heartbeat(_info(boot=2), agent.now_ms)
+    return agent.supervisor.take_report(agent.now_ms).crashed_runs
+
+
+# Guards against a crash that reads like a planned exchange of the worker.
+def test_crash_is_reported_with_the_runs_that_it_ended():
+    (run,) = _crashed_runs_after_replacement(is_planned=False)
+    assert (run.worker, run.boot) == ('w', 1)
+    assert (run.task, run.run_number, run.age_ms) == (START.task, 1, 40)
+
+
+def test_worker_that_has_drained_has_not_crashed():
+    assert not _crashed_runs_after_replacement(is_planned=True)
+
+
+def test_refused_start_is_not_reported_as_lost_by_a_crash():
+    agent = Agent()
+    agent.order(starts=[START])
+    (start,) = agent.calls(worker_calls.StartCall)
+    refused = worker_calls.CallReply(worker_calls.CallStatus.NO_ROOM)
+    agent.supervisor.on_start_reply(start, refused, agent.now_ms)
+    agent.supervisor.on_heartbeat(_info(boot=2), agent.now_ms)
+    assert not agent.supervisor.take_report(agent.now_ms).crashed_runs
+
+
+def test_crash_is_no_longer_reported_after_a_while():
+    agent = Agent()
+    agent.order(starts=[START])
+    agent.calls(worker_calls.StartCall)
+    agent.supervisor.on_heartbeat(_info(boot=2), agent.now_ms)
+    assert agent.supervisor.take_report(agent.now_ms).crashed_runs
+    agent.now_ms += crash_history.REPORTED_MS
+    assert not agent.supervisor.take_report(agent.now_ms).crashed_runs
--- a/packages/mulberryloom-core/src/mulberryloom_core/messages.py
+++ b/packages/mulberryloom-core/src/mulberryloom_core/messages.py
@@ -546,6 +546,23 @@
     run_number: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashedRun:
+    """A run that was lost when its worker crashed.
+
+    :param worker: id of the worker that crashed.
+    :param boot: start time of its incarnation, Unix milliseconds.
+    :param age_ms: time for which the worker is known to have answered after
+        the start of the run was sent to it; ``0`` if it never did.
+    """
+
+    worker: str
+    boot: int
+    task: str
+    run_number: int
+    age_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkerReport:
     """State of a worker and its runs, sent by its agent to the leader.
@@ -567,6 +584,8 @@
     :param lists_age_ms: time since the worker was asked for ``running`` and
         ``ended``. A worker that does not answer for a while has made no
         less progress for it.
+    :param crashed_runs: runs on earlier workers of the VM that crashed a
+        short time ago, while this agent process ran.
     """
 
     worker: str
@@ -591,6 +610,7 @@
     warmup_left_ms: int = 0
     speed_permille: int = 0
     lists_age_ms: int = 0
+    crashed_runs: list[CrashedRun] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/mulberryloom-core/src/mulberryloom_core/schema/mulberryloom.capnp
+++ b/packages/mulberryloom-core/src/mulberryloom_core/schema/mulberryloom.capnp
@@ -482,6 +482,14 @@
   runNumber @1 :Int64;
 }
 
+struct CrashedRun {
+  worker @0 :Text;
+  boot @1 :Int64;
+  task @2 :Text;
+  runNumber @3 :Int64;
+  ageMs @4 :Int64;
+}
+
 struct WorkerReport {
   worker @0 :Text;
   boot @1 :Int64;
@@ -505,6 +513,7 @@
   warmupLeftMs @19 :Int64;
   speedPermille @20 :Int64;
   listsAgeMs @21 :Int64;
+  crashedRuns @22 :List(CrashedRun);
 }
 
 struct StartRun {
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -415,6 +415,8 @@
         """
         key = (report.worker, report.boot)
         previous_key = self._key_by_node.get(node)
+        if key not in self._link_by_key:
+            self._log_crashes(report)
         if previous_key is not None and previous_key[0] != key[0]:
             self._remove_worker(previous_key, 'replaced by another worker')
         link = self._link_by_key.get(key)
@@ -433,6 +435,22 @@
         self._key_by_node[node] = key
         return link
 
+    def _log_crashes(self, report: messages.WorkerReport) -> None:
+        """Log the crashes of workers in the first report of a later one."""
+        age_ms_by_task_by_key: dict[fleet.WorkerKey, dict[str, int]] = {}
+        for run in report.crashed_runs:
+            ages = age_ms_by_task_by_key.setdefault((run.worker, run.boot), {})
+            ages[run.task] = run.age_ms
+        for (worker, boot), ages in age_ms_by_task_by_key.items():
+            self._metrics.count('worker_crashes_total')
+            _log.warning(
+                'worker crashed',
+                worker=worker,
+                boot=boot,
+                successor=report.worker,
+                age_ms_by_task=ages,
+            )
+
     def on_session(self, node: str) -> None:
         """Handle a new session with an agent.
 
