Reproduce the task that crashes worker after worker

The workers of the simulation can crash under a task and come back 3.3 s later, the oracle counts the starts after the third crash.

--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/oracle.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/oracle.py
@@ -11,6 +11,10 @@
 #: Time after the answer to an evacuation from which no task may start in the
 #: data centre.
 EVACUATION_BOUND_MS = 5_000
+#: Number of crashes of workers under a task after which its further starts
+#: count, and the number of such starts that is one too many.
+CRASH_LIMIT = 3
+STARTS_AFTER_CRASH_LIMIT = 3
 
 
 class Violation(AssertionError):
@@ -42,6 +46,10 @@
         # Last start after a success that was not acknowledged yet, by task:
         # number of the run and where it started.
         self._start_after_done: dict[str, tuple[int, str]] = {}
+        self._crashes: collections.Counter[str] = collections.Counter()
+        self._starts_after_crash_limit: collections.Counter[str] = (
+            collections.Counter()
+        )
         # (worker, boot, sequence) of the ends that were taken into account.
         self._counted_ends: set[tuple[str, int, int]] = set()
 
@@ -64,12 +72,33 @@
             raise Violation(
                 f'{where}: started after {self.max_attempts} failed attempts'
             )
+        self._check_crashes(run, where)
         for predecessor in spec.steps[key.step].after:
             if not self._is_step_done(job_id, key.repetition, predecessor):
                 raise Violation(
                     f'{where}: preceding step {predecessor} is not done'
                 )
 
+    def _check_crashes(self, run: WorkerRun, where: str) -> None:
+        if self._crashes[run.task] < CRASH_LIMIT:
+            return
+        self._starts_after_crash_limit[run.task] += 1
+        starts = self._starts_after_crash_limit[run.task]
+        if starts >= STARTS_AFTER_CRASH_LIMIT:
+            raise Violation(
+                f'{where}: start {starts} after {CRASH_LIMIT} workers have '
+                'crashed under the task'
+            )
+
+    def record_crash(self, worker: WorkerStandIn) -> None:
+        """Record that a task has crashed its worker, before its runs go.
+
+        Only the tasks at fault count: the others stood beside them.
+        """
+        for run in worker.run_by_task.values():
+            if run.work.is_crashing:
+                self._crashes[run.task] += 1
+
     def check_evacuation(
         self, worker: WorkerStandIn, run: WorkerRun, now_ms: int
     ) -> None:
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/worker.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/worker.py
@@ -19,11 +19,13 @@
 
     :param is_failing: whether its runs fail at their end because of the task
         itself.
+    :param is_crashing: whether it crashes each worker that starts it.
     """
 
     step: jobs.Step
     duration_ms: int
     is_failing: bool = False
+    is_crashing: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/world.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/world.py
@@ -33,6 +33,10 @@
 #: Pause before evacuations are read again after a failed read.
 _EVACUATION_RETRY_MS = 200
 _START_ORDER_VALID_MS = 1_500
+#: Times from the start of a task to the crash of its worker, and from the
+#: crash to the first heartbeat of the next worker.
+_CRASH_DELAY_MS = 20
+_CRASH_DURATION_MS = 3_300
 
 Action: t.TypeAlias = t.Callable[[], None]
 
@@ -48,12 +52,15 @@
         and time out.
     :param failing_task_share: tasks whose runs all fail because of the task
         itself.
+    :param crashing_task_share: tasks that crash each worker that starts
+        them.
     """
 
     lost_reply_share: float = 0.0
     late_call_share: float = 0.0
     lost_call_reply_share: float = 0.0
     failing_task_share: float = 0.0
+    crashing_task_share: float = 0.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -167,6 +174,8 @@
         self._action_numbers = itertools.count()
         self._work_by_task: dict[str, workers.Work] = {}
         self._name_numbers = itertools.count(1)
+        #: Number of workers that crashed under a task.
+        self.crash_count = 0
         self.agents = [self._new_agent(i) for i in range(agents)]
         self.entries: list[_Entry] = []
         self.take_over()
@@ -221,10 +230,12 @@
         self.oracle.spec_by_job[job_id] = spec
         for key in job.task_by_key:
             is_failing = self.random.random() < self.faults.failing_task_share
+            is_crashing = self._is_crashing()
             work = workers.Work(
                 job.step_of(key),
                 self.random.randrange(duration_ms // 2, duration_ms * 2),
                 is_failing,
+                is_crashing,
             )
             self._work_by_task[jobs.task_name(job_id, key)] = work
         key = keys.job_key(job_id)
@@ -236,6 +247,10 @@
             entry = store.Entry(key, value, reply.revision)
             self.entry.leader.apply_records([entry], self.now_ms, self.now_ms)
 
+    def _is_crashing(self) -> bool:
+        share = self.faults.crashing_task_share
+        return share > 0 and self.random.random() < share
+
     def cancel(self, job_id: str) -> None:
         """Mark a job as cancelled in its record, as an entry does.
 
@@ -334,6 +349,31 @@
             100, 1_000
         )
 
+    def crash_worker(
+        self, agent: _Agent, worker: workers.WorkerStandIn
+    ) -> None:
+        """Crash a worker, if it is still the one of its VM.
+
+        Its calls are not answered until the next worker registers.
+        """
+        if agent.worker is not worker or not agent.is_worker_up:
+            return
+        self.crash_count += 1
+        self.oracle.record_crash(worker)
+        agent.worker.run_by_task.clear()
+        agent.is_worker_up = False
+
+        def come_back() -> None:
+            agent.is_worker_up = True
+            if agent.worker is not worker:
+                return
+            self.restart_worker(agent)
+            if self.random.random() < 0.7:
+                agent.worker.worker = f'{worker.worker}x'
+            agent.heartbeat_due_ms = self.now_ms
+
+        self._after(_CRASH_DURATION_MS, come_back)
+
     def replace_worker(self, agent: _Agent) -> None:
         """Power-cycle a VM; its next worker has another id."""
         self.restart_worker(agent)
@@ -520,7 +560,7 @@
                 deliver_reply(worker_calls.CallReply(status))
 
         def execute(*, is_late: bool = False) -> t.Any:
-            if worker is not agent.worker:
+            if worker is not agent.worker or not agent.is_worker_up:
                 return None
             if self._is_shed(worker, call):
                 return worker_calls.CallReply(
@@ -538,6 +578,11 @@
                 self.oracle.check_start(worker, started, self.now_ms)
                 if not is_late:
                     self.oracle.check_evacuation(worker, started, self.now_ms)
+                if started.work.is_crashing:
+                    self._after(
+                        _CRASH_DELAY_MS,
+                        lambda: self.crash_worker(agent, worker),
+                    )
             return reply
 
         def execute_and_reply() -> None:
