Count crashed workers for the tasks that ran on them

Cause: only ends that a worker lists as failed were counted. A crashed worker lists nothing, so that its runs counted as never begun, and their tasks started again in the same round, often side by side.

Twelve crashes under one task, each 0 to 10 ms after its start, beside runs that were 0.9 s and older; the count of failures stays 0.

Change: the crashes that agents report go into the record of the job, which is written before the task starts again, so that they outlast the leader and an outage of the store. The last tasks to start before a crash are suspect: they start again on another VM, where nothing else starts until they have outlived the crash. A second crash there is the task's, and its job fails with 'worker-crashes'. A run that goes on for longer clears its task.

Why it works: on probation a task is the only one that has just started, so that its crash is told from that of its neighbours, and another VM from a faulty one. Lost power, cuts and exchanges are no crashes: the agent has to have lived through them.

--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
@@ -34,6 +34,10 @@
         worker_calls.CallStatus.FENCED,
     }
 )
+#: Outcomes of calls that the worker has not answered.
+_UNANSWERED_STATUSES = frozenset(
+    {worker_calls.CallStatus.UNKNOWN, worker_calls.CallStatus.NOT_LISTENING}
+)
 
 _log = structlog.get_logger(__name__)
 
@@ -537,6 +541,8 @@
         now_ms: int,
     ) -> None:
         self._hold_due_ms = now_ms + self._options.retry_delay_ms
+        if reply.status in _UNANSWERED_STATUSES:
+            self._crashes.note_failure(now_ms)
         if reply.status is worker_calls.CallStatus.NOT_LISTENING:
             if self._is_leaving:
                 _log.info('worker left', worker=call.worker)
@@ -584,8 +590,10 @@
             return
         pending.is_in_flight = False
         status = reply.status
-        if status is worker_calls.CallStatus.DONE:
-            self._crashes.note_answer(now_ms)
+        if status in _UNANSWERED_STATUSES:
+            self._crashes.note_failure(now_ms)
+        elif status is not worker_calls.CallStatus.OTHER_INCARNATION:
+            self._crashes.note_answer()
         _log.info(
             'start call returned',
             task=call.start.task,
--- a/packages/mulberryloom-core/src/mulberryloom_core/messages.py
+++ b/packages/mulberryloom-core/src/mulberryloom_core/messages.py
@@ -552,8 +552,8 @@
 
     :param worker: id of the worker that crashed.
     :param boot: start time of its incarnation, Unix milliseconds.
-    :param age_ms: time for which the worker is known to have answered after
-        the start of the run was sent to it; ``0`` if it never did.
+    :param age_ms: time from the first order to start the run to the first
+        call that the worker did not answer any more.
     """
 
     worker: str
--- a/packages/mulberryloom-core/src/mulberryloom_core/request/job_documents.py
+++ b/packages/mulberryloom-core/src/mulberryloom_core/request/job_documents.py
@@ -127,7 +127,7 @@
 
 def describe(job: jobs.Job) -> dict[str, t.Any]:
     """Return the JSON document of a job for callers and operators."""
-    return {
+    document = {
         'job_id': job.job_id,
         'queue': job.terms.queue,
         'account': job.terms.account,
@@ -139,6 +139,9 @@
             _describe_step(job, index) for index in range(len(job.spec.steps))
         ],
     }
+    if job.failure is not None:
+        document['failure'] = job.failure.value
+    return document
 
 
 def _describe_step(job: jobs.Job, index: int) -> dict[str, t.Any]:
@@ -150,4 +153,5 @@
         'done': sum(task.is_done for task in tasks),
         'running': sum(task.run is not None for task in tasks),
         'failures': sum(task.failures for task in tasks),
+        'crashes': sum(len(task.crashes) for task in tasks),
     }
--- a/packages/mulberryloom-core/src/mulberryloom_core/request/job_records.py
+++ b/packages/mulberryloom-core/src/mulberryloom_core/request/job_records.py
@@ -17,24 +17,35 @@
 
 
 def encode(job: jobs.Job) -> bytes:
-    """Return the record of a job, without tasks that had no run."""
-    return orjson.dumps(
-        {
-            'format': FORMAT,
-            'id': job.job_id,
-            'spec': _encode_spec(job.spec),
-            'terms': dataclasses.asdict(job.terms),
-            'accepted_ms': job.accepted_ms,
-            'is_cancelled': job.is_cancelled,
-            'is_failed': job.is_failed,
-            'ended_ms': job.ended_ms,
-            'tasks': [
-                _encode_task(task)
-                for task in job.task_by_key.values()
-                if task.last_run
-            ],
-        }
-    )
+    """Return the record of a job, without tasks that had no run.
+
+    Fields that most jobs lack are left out. Earlier versions ignore them.
+    """
+    document: dict[str, t.Any] = {
+        'format': FORMAT,
+        'id': job.job_id,
+        'spec': _encode_spec(job.spec),
+        'terms': dataclasses.asdict(job.terms),
+        'accepted_ms': job.accepted_ms,
+        'is_cancelled': job.is_cancelled,
+        'is_failed': job.is_failed,
+        'ended_ms': job.ended_ms,
+        'tasks': [
+            _encode_task(task)
+            for task in job.task_by_key.values()
+            if task.last_run
+        ],
+    }
+    if job.failure is not None:
+        document['failure'] = job.failure.value
+    crashes = [
+        _encode_crashes(task)
+        for task in job.task_by_key.values()
+        if task.crashes or task.proven_run
+    ]
+    if crashes:
+        document['crashes'] = crashes
+    return orjson.dumps(document)
 
 
 def decode(record: bytes) -> Result[jobs.Job, Error]:
@@ -72,6 +83,10 @@
         if task.key not in job.task_by_key:
             raise ValueError(f'task is not in the specification: {task.key}')
         job.task_by_key[task.key] = task
+    if 'failure' in document:
+        job.failure = jobs.JobFailure(document['failure'])
+    for row in document.get('crashes', ()):
+        _decode_crashes(row, job)
     return job
 
 
@@ -135,3 +150,18 @@
         is_done,
         jobs.Run(*run) if run else None,
     )
+
+
+def _encode_crashes(task: jobs.Task) -> list[t.Any]:
+    return [
+        *dataclasses.astuple(task.key),
+        task.proven_run,
+        [dataclasses.astuple(crash) for crash in task.crashes],
+    ]
+
+
+def _decode_crashes(row: list[t.Any], job: jobs.Job) -> None:
+    repetition, step, index, proven_run, crashes = row
+    task = job.task_by_key[jobs.TaskKey(repetition, step, index)]
+    task.proven_run = proven_run
+    task.crashes = [jobs.Crash(*fields) for fields in crashes]
--- a/packages/mulberryloom-core/src/mulberryloom_core/request/jobs.py
+++ b/packages/mulberryloom-core/src/mulberryloom_core/request/jobs.py
@@ -38,6 +38,15 @@
     ALONE = 'alone'
 
 
+class JobFailure(enum.Enum):
+    """Why a job failed."""
+
+    #: A task failed as often as the queue allows.
+    ATTEMPTS = 'attempts-spent'
+    #: Workers crashed when they started one of its tasks.
+    CRASHES = 'worker-crashes'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Step:
     """Equal tasks of one job.
@@ -144,6 +153,25 @@
     vm: str = ''
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Crash:
+    """A crash of a worker while it ran a task.
+
+    :param run_number: number of the run that the crash ended.
+    :param vm: VM of the worker.
+    :param age_ms: time from the first order to start the run to the crash.
+    :param is_last_start: whether the run was among the last to start there.
+    :param is_only_start: whether the runs of all other jobs on the worker had
+        started clearly earlier.
+    """
+
+    run_number: int
+    vm: str
+    age_ms: int
+    is_last_start: bool
+    is_only_start: bool
+
+
 @dataclasses.dataclass(slots=True)
 class Task:
     """A task and its current run.
@@ -153,6 +181,9 @@
     :param checkpoint: checkpoint from which the next run resumes; empty
         for none.
     :param run: current run, ``None`` between runs.
+    :param crashes: crashes of workers under the task since its last run that
+        showed that it does not cause them.
+    :param proven_run: number of that run; ``0`` for none.
     """
 
     key: TaskKey
@@ -161,6 +192,8 @@
     checkpoint: str = ''
     is_done: bool = False
     run: Run | None = None
+    crashes: list[Crash] = dataclasses.field(default_factory=list)
+    proven_run: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -169,6 +202,8 @@
 
     :param accepted_ms: Unix time of acceptance.
     :param ended_ms: Unix time of the end; ``0`` until then.
+    :param failure: why it failed; ``None`` if it has not, or if an earlier
+        version of the software recorded its failure.
     """
 
     job_id: str
@@ -179,6 +214,7 @@
     is_cancelled: bool = False
     is_failed: bool = False
     ended_ms: int = 0
+    failure: JobFailure | None = None
     _tasks_by_step: dict[tuple[int, int], list[Task]] = dataclasses.field(
         default_factory=dict, init=False, repr=False, compare=False
     )
@@ -242,6 +278,13 @@
         """Yield the tasks that have a current run."""
         return (task for task in self.task_by_key.values() if task.run)
 
+    def fail(self, failure: JobFailure) -> None:
+        """Mark the job as failed, unless it was cancelled."""
+        if self.is_cancelled or self.is_failed:
+            return
+        self.is_failed = True
+        self.failure = failure
+
     def due_ms(self, repetition: int) -> int:
         """Return the earliest start of a repetition, Unix milliseconds."""
         if not self.spec.repeats:
--- a/packages/mulberryloom-core/tests/test_job_documents.py
+++ b/packages/mulberryloom-core/tests/test_job_documents.py
@@ -76,5 +76,6 @@
         'done': 1,
         'running': 1,
         'failures': 0,
+        'crashes': 0,
     }
     assert description['steps'][1]['done'] == 0
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -29,6 +29,7 @@
 from mulberryloom_policy.jobs import WorkerSpeeds
 import structlog
 
+from . import crash_attribution
 from . import decisions
 from . import evacuations
 from . import fleet
@@ -152,6 +153,9 @@
             now_ms,
             self._worker_speeds,
         )
+        self._crashes = crash_attribution.CrashAttribution(
+            self._records, self._runs, self._decision_log, self._metrics
+        )
         self._startup = startup.Startup(options, self._runs, now_ms)
         self._known_job_ids: dict[str, None] = {}
         self._needs_plan = True
@@ -360,6 +364,9 @@
         self._decision_log.wall_ms = wall_ms
         if not report.worker:
             return
+        if report.crashed_runs:
+            for job in self._crashes.apply(node, report):
+                self._end_job_if_final(job, wall_ms)
         link = self._link_for(node, report, now_ms)
         if link.update(report, now_ms):
             link.capacity.recompute_free()
@@ -415,8 +422,6 @@
         """
         key = (report.worker, report.boot)
         previous_key = self._key_by_node.get(node)
-        if key not in self._link_by_key:
-            self._log_crashes(report)
         if previous_key is not None and previous_key[0] != key[0]:
             self._remove_worker(previous_key, 'replaced by another worker')
         link = self._link_by_key.get(key)
@@ -435,22 +440,6 @@
         self._key_by_node[node] = key
         return link
 
-    def _log_crashes(self, report: messages.WorkerReport) -> None:
-        """Log the crashes of workers in the first report of a later one."""
-        age_ms_by_task_by_key: dict[fleet.WorkerKey, dict[str, int]] = {}
-        for run in report.crashed_runs:
-            ages = age_ms_by_task_by_key.setdefault((run.worker, run.boot), {})
-            ages[run.task] = run.age_ms
-        for (worker, boot), ages in age_ms_by_task_by_key.items():
-            self._metrics.count('worker_crashes_total')
-            _log.warning(
-                'worker crashed',
-                worker=worker,
-                boot=boot,
-                successor=report.worker,
-                age_ms_by_task=ages,
-            )
-
     def on_session(self, node: str) -> None:
         """Handle a new session with an agent.
 
@@ -556,6 +545,8 @@
                 )
             else:
                 run.record_listing(item.progress, listed_ms, now_ms)
+            if run.task.crashes:
+                self._crashes.clear_survivor(run)
             if item.checkpoint and item.checkpoint != run.task.checkpoint:
                 self._set_checkpoint(run, item.checkpoint)
                 self._records.mark_checkpointed(run.job.job_id, now_ms)
@@ -702,7 +693,7 @@
         if run.step.is_lasting:
             return
         if run.task.failures >= job.terms.max_attempts:
-            job.is_failed = not job.is_cancelled
+            job.fail(jobs.JobFailure.ATTEMPTS)
 
     def _end_job_if_final(self, job: jobs.Job, wall_ms: int) -> None:
         if job.state.is_final and not job.ended_ms:
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/run_table.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/run_table.py
@@ -148,17 +148,24 @@
         if link is not None:
             link.has_pending_orders = True
 
-    def stop_other_members(self, run: ActiveRun, reason: str) -> None:
-        """Stop the runs of the other members, if the run is in a gang."""
+    def members_of(self, run: ActiveRun) -> list[ActiveRun]:
+        """Return the runs of its gang; the run alone if it is in none."""
         if not run.step.is_gang:
-            return
+            return [run]
         key = run.task.key
-        for task in run.job.tasks_of(key.repetition, key.step):
-            if task.run is None or task.run.number != run.run.number:
-                continue
-            other = self.find(run.job, task)
-            if other is not None and other is not run:
-                self.stop(other, reason)
+        return [
+            member
+            for task in run.job.tasks_of(key.repetition, key.step)
+            if task.run is not None and task.run.number == run.run.number
+            for member in [self.find(run.job, task)]
+            if member is not None
+        ]
+
+    def stop_other_members(self, run: ActiveRun, reason: str) -> None:
+        """Stop the runs of the other members, if the run is in a gang."""
+        for member in self.members_of(run):
+            if member is not run:
+                self.stop(member, reason)
 
     def discard(self, run: ActiveRun, reason: str) -> None:
         """Discard a run that cannot have started or is no longer running."""
@@ -193,17 +200,7 @@
         """
         if run.task.run != run.run:
             return
-        members = [run]
-        if run.step.is_gang:
-            key = run.task.key
-            members = [
-                member
-                for task in run.job.tasks_of(key.repetition, key.step)
-                if task.run is not None and task.run.number == run.run.number
-                for member in [self.find(run.job, task)]
-                if member is not None
-            ]
-        for member in members:
+        for member in self.members_of(run):
             if member.sent_ms or member.is_inherited:
                 self.stop(member, reason)
             else:
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/process/reports.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/process/reports.py
@@ -176,8 +176,10 @@
         f'{document["queue"]} of {document["account"]}, priority '
         f'{document["priority"]}'
     )
+    if 'failure' in document:
+        heading += f', {document["failure"]}'
     steps = tables.render(
-        ['step', 'tasks', 'done', 'running', 'failures'],
+        ['step', 'tasks', 'done', 'running', 'failures', 'crashes'],
         [
             [
                 index,
@@ -185,6 +187,8 @@
                 step['done'],
                 step['running'],
                 step['failures'],
+                # Entries of earlier versions do not tell it.
+                step.get('crashes', 0),
             ]
             for index, step in enumerate(document['steps'])
         ],
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/__init__.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/__init__.py
@@ -5,6 +5,7 @@
 single request, see ``decisions.Job``.
 """
 
+from . import crashes
 from . import health
 from . import valuation
 from .capacity import ActiveRun
@@ -21,6 +22,7 @@
     'PlanOptions',
     'WorkerCapacity',
     'WorkerSpeeds',
+    'crashes',
     'health',
     'valuation',
 ]
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/capacity.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/capacity.py
@@ -9,6 +9,7 @@
 
 from mulberryloom_core.request import jobs
 
+from . import crashes
 
 #: Name of a task and number of its run.
 RunKey: t.TypeAlias = tuple[str, int]
@@ -71,6 +72,7 @@
         more; ``0`` if that is not limited.
     :param has_stalled: whether it made no progress for longer than its stall
         timeout, and went on later.
+    :param first_listed_ms: time from which the first list is that shows it.
     """
 
     job: jobs.Job
@@ -92,6 +94,7 @@
     base_progress: int = 0
     start_expires_ms: int = 0
     has_stalled: bool = False
+    first_listed_ms: int = 0
 
     #: Time from which on the speed of the run is known.
     base_ms: int = dataclasses.field(init=False)
@@ -133,6 +136,7 @@
         self.is_confirmed = True
         self.last_progress_ms = now_ms
         self.progress_listed_ms = listed_ms
+        self.first_listed_ms = listed_ms
         if self.is_inherited or self.task.checkpoint:
             self.base_progress = progress
             self.base_ms = now_ms
@@ -180,6 +184,9 @@
         failures.
     :param failed_ms: monotonic time of the last failure.
     :param is_unresponsive: whether its runs stand still in this round.
+    :param is_on_probation: whether it runs a task that may crash it, so that
+        nothing else starts there; see :mod:`crashes`.
+    :param has_starts: whether this planning round starts tasks there.
     :param failures: failed runs since the last success of a run that
         started after them.
     :param committed_cpu: CPU capacity committed in this planning round, to
@@ -214,6 +221,8 @@
     failed_ms: int = 0
     failures: int = 0
     is_unresponsive: bool = False
+    is_on_probation: bool = False
+    has_starts: bool = False
     committed_cpu: int = 0
     committed_memory: int = 0
     committed_accelerators: int = 0
@@ -238,6 +247,7 @@
         self.committed_cpu = 0
         self.committed_memory = 0
         self.committed_accelerators = 0
+        self.has_starts = False
         self.recompute_free()
 
     def commit(self, step: jobs.Step, count: int = 1) -> None:
@@ -256,8 +266,11 @@
         self.free_cpu = self.cpu_millis
         self.free_memory = self.memory_mb
         self.free_accelerators = self.accelerators
+        self.is_on_probation = False
         for run in self.run_by_key.values():
             self.occupy(run.step)
+            if run.task.crashes and crashes.is_suspect(run.task):
+                self.is_on_probation = True
 
     def free_capacity(self) -> FreeCapacity:
         """Return a copy of the free capacity that is not committed."""
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
@@ -11,8 +11,10 @@
 from mulberryloom_core.request import jobs
 from mulberryloom_core.version import catalogue as catalogues
 
+from . import crashes
 from . import health
 from . import placement
+from . import probation
 from . import valuation
 from . import warm_placement
 from .capacity import TaskDemand
@@ -198,14 +200,16 @@
                 key = (job.job_id, repetition, step_index)
                 since_ms = self._pending_since_by_step.get(key, now_ms)
                 pending_since_by_step[key] = since_ms
-                yield PendingStep(
-                    job,
-                    repetition,
-                    step_index,
-                    step,
-                    unstarted,
-                    now_ms - since_ms,
-                )
+                for tasks, is_suspect in _by_suspicion(step, unstarted):
+                    yield PendingStep(
+                        job,
+                        repetition,
+                        step_index,
+                        step,
+                        tasks,
+                        now_ms - since_ms,
+                        is_suspect,
+                    )
 
     # Placement
 
@@ -226,6 +230,10 @@
             eligible = health.without_suspects(
                 step, count if step.is_gang else 1, eligible
             )
+        if pending.is_suspect:
+            eligible = probation.on_other_vms(pending.tasks, step, eligible)
+        if state.has_probation:
+            eligible = [w for w in eligible if not w.is_on_probation]
         if _blocks_urgent_jobs(pending.job, step):
             allowed = state.other_capacity.fitting_count(step, count)
             if allowed < count and (step.is_gang or not allowed):
@@ -233,11 +241,43 @@
                 state.block(pending, 'capacity is kept for urgent jobs')
                 return
             pending.tasks[allowed:] = []
-        if step.is_gang:
+        if pending.is_suspect:
+            self._place_suspects(pending, eligible, state)
+        elif step.is_gang:
             self._place_gang(pending, eligible, state)
         else:
             self._place_tasks(pending, eligible, state)
 
+    def _place_suspects(
+        self,
+        pending: PendingStep,
+        eligible: list[WorkerCapacity],
+        state: RoundState,
+    ) -> None:
+        """Place tasks that may crash their workers, each on probation.
+
+        While no worker suits them, they wait like other tasks that do not
+        fit; what is reserved or preempted for them keeps other tasks from
+        starting there.
+        """
+        assigned = probation.assign(
+            pending.step,
+            pending.tasks,
+            probation.settled_workers(eligible, state.now_ms),
+            placement.task_count_by_worker(
+                pending.job, pending.repetition, pending.step_index
+            ),
+            state.now_ms,
+            self._options,
+        )
+        for task, worker in assigned:
+            self._start(state, pending, task, worker)
+        del pending.tasks[: len(assigned)]
+        if pending.tasks:
+            self._preempt_or_reserve(
+                pending, eligible, state, in_one_rack=False
+            )
+
     def _eligible_workers(
         self, pending: PendingStep, state: RoundState
     ) -> list[WorkerCapacity]:
@@ -492,6 +532,10 @@
         worker: WorkerCapacity,
     ) -> None:
         worker.commit(pending.step)
+        worker.has_starts = True
+        if pending.is_suspect:
+            worker.is_on_probation = True
+            state.has_probation = True
         self._reservation_finder.add_start(pending.step, worker, state.now_ms)
         if _blocks_urgent_jobs(pending.job, pending.step):
             state.other_capacity.occupy(pending.step)
@@ -803,6 +847,23 @@
     return job.terms.priority != 0 and not step.is_checkpointed
 
 
+def _by_suspicion(
+    step: jobs.Step, tasks: list[jobs.Task]
+) -> t.Iterator[tuple[list[jobs.Task], bool]]:
+    """Yield the tasks that start like any other, then the suspect ones.
+
+    A gang starts as a whole, so that one suspect member makes it suspect.
+    """
+    suspects = [task for task in tasks if crashes.is_suspect(task)]
+    if not suspects or step.is_gang:
+        yield tasks, bool(suspects)
+        return
+    others = [task for task in tasks if not crashes.is_suspect(task)]
+    if others:
+        yield others, False
+    yield suspects, True
+
+
 def _is_ready(job: jobs.Job, repetition: int, step: jobs.Step) -> bool:
     """Whether all steps on which a step depends are done."""
     return all(
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/round_state.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/round_state.py
@@ -20,6 +20,8 @@
 
     :param tasks: the tasks without a run.
     :param waited_ms: time since the step became pending.
+    :param is_suspect: whether the tasks, or some members of the gang, may
+        crash their workers.
     :param reservation_by_key: earliest starts that were searched for, by
         number of tasks and whether all have to share a rack.
     """
@@ -30,6 +32,7 @@
     step: jobs.Step
     tasks: list[jobs.Task]
     waited_ms: int
+    is_suspect: bool = False
     reservation_by_key: dict[tuple[int, bool], Reservation | None] = (
         dataclasses.field(default_factory=dict)
     )
@@ -67,11 +70,16 @@
 
     #: Whether any worker is cold, see ``warmup``.
     has_cold_workers: bool = dataclasses.field(init=False)
+    #: Whether any worker is on probation, see ``crashes``.
+    has_probation: bool = dataclasses.field(init=False)
 
     def __post_init__(self) -> None:
         self.has_cold_workers = any(
             worker.warm_ms > self.now_ms for worker in self.workers
         )
+        self.has_probation = any(
+            worker.is_on_probation for worker in self.workers
+        )
 
     @property
     def workers(self) -> list[WorkerCapacity]:
