Withdraw starts from workers that have shrunk

Cause: the leader compared a run with the capacity of its worker when it was planned only. A run whose record was stored later, a start that was sent again in a new session, and one that the agent repeated went out whatever the worker had said meanwhile. A worker with less than its runs need still got tasks that use none of the missing resource.

Change: before it sends starts, the leader withdraws those of a worker whose runs need more than it has, a gang as a whole. The agent refuses starts that were ordered before the leader knew that the worker had shrunk, and abandons those that are open: calls without an answer are barred by a stop. Such a worker gets no new task of any shape until it fits again.

--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
@@ -193,6 +193,8 @@
             self._lease_end_ms + options.lease_slack_ms
         )
         self._last_reply_ms = now_ms
+        #: When the worker last reported less capacity than before.
+        self._shrunk_ms = 0
         #: Whether the worker has announced its exit, and whether it is gone.
         self._is_leaving = False
         self._has_left = False
@@ -212,13 +214,11 @@
             return
         if previous is None or _incarnation(info) != _incarnation(previous):
             self._on_new_incarnation(info, now_ms)
-        elif info.is_draining and not previous.is_draining:
-            _log.info(
-                'worker draining',
-                worker=info.worker,
-                remaining_ms=info.remaining_ms,
-            )
-            self._abandon_unsent_starts(now_ms)
+        else:
+            if _has_shrunk(info, previous):
+                self._on_shrunk(info, now_ms)
+            if info.is_draining and not previous.is_draining:
+                self._on_draining(info, now_ms)
         if not info.is_draining:
             # A worker drains before it leaves, so the notice of leave was
             # that of an earlier incarnation.
@@ -231,6 +231,27 @@
         self.info = info
         self._heartbeat_ms = now_ms
 
+    def _on_draining(self, info: worker_calls.WorkerInfo, now_ms: int) -> None:
+        _log.info(
+            'worker draining',
+            worker=info.worker,
+            remaining_ms=info.remaining_ms,
+        )
+        self._abandon_unsent_starts(now_ms)
+
+    def _on_shrunk(self, info: worker_calls.WorkerInfo, now_ms: int) -> None:
+        """Abandon the starts that the leader planned with more capacity."""
+        _log.info(
+            'worker has shrunk',
+            worker=info.worker,
+            cpu_millis=info.cpu_millis,
+            memory_mb=info.memory_mb,
+            accelerators=info.accelerators,
+        )
+        self._shrunk_ms = now_ms
+        for key in list(self._pending_start_by_key):
+            self._abandon_start(key, now_ms)
+
     def _is_newer(
         self, info: worker_calls.WorkerInfo, previous: worker_calls.WorkerInfo
     ) -> bool:
@@ -278,6 +299,7 @@
         self._ended = ()
         self._progress = progress_monitor.ProgressMonitor()
         self._has_current_lists = False
+        self._shrunk_ms = 0
         self._is_leaving = False
         self._has_left = False
         self._acknowledged_sequence = 0
@@ -374,6 +396,10 @@
                     'start refused', task=start.task, reason='overtaken'
                 )
                 continue
+            if orders.echo_ms < self._shrunk_ms:
+                key = (start.task, start.run_number)
+                self._refuse_start(key, 'worker has shrunk', now_ms)
+                continue
             self._on_start_ordered(start, expires_ms, now_ms)
         for run in orders.stops:
             self._on_stop_ordered(run, now_ms)
@@ -904,6 +930,16 @@
     return info.worker, info.boot
 
 
+def _has_shrunk(
+    info: worker_calls.WorkerInfo, previous: worker_calls.WorkerInfo
+) -> bool:
+    return (
+        info.cpu_millis < previous.cpu_millis
+        or info.memory_mb < previous.memory_mb
+        or info.accelerators < previous.accelerators
+    )
+
+
 def _without_volatile_fields(
     info: worker_calls.WorkerInfo,
 ) -> worker_calls.WorkerInfo:
--- a/packages/mulberryloom-agent/tests/test_worker_supervisor.py
+++ b/packages/mulberryloom-agent/tests/test_worker_supervisor.py
@@ -23,7 +23,7 @@
         ('a', 'r'),
         16_000,
         16_000,
-        8,
+        values.get('accelerators', 8),
         values['is_draining'],
         values['remaining_ms'],
         values.get('warmup_left_ms', 0),
@@ -760,3 +760,46 @@
     assert agent.calls(worker_calls.StartCall)
     agent.supervisor.on_heartbeat(_info(boot=2), agent.now_ms)
     assert not agent.supervisor.take_report(agent.now_ms).crashed_runs
+
+
+def _shrink(agent, accelerators=4):
+    agent.now_ms += 10
+    agent.supervisor.on_heartbeat(
+        _info(sequence=agent.now_ms, accelerators=accelerators), agent.now_ms
+    )
+
+
+# Guards against a start on a worker that shrank while its order was under way.
+def test_start_ordered_before_the_leader_knows_of_the_shrinking_is_refused():
+    agent = Agent()
+    agent.outlive_calls_of_earlier_process()
+    echo_ms = agent.now_ms
+    _shrink(agent)
+    agent.order(starts=[START], echo_ms=echo_ms)
+    assert not agent.calls(worker_calls.StartCall)
+    agent.order(starts=[START])
+    assert agent.calls(worker_calls.StartCall)
+
+
+def test_start_is_sent_to_a_worker_that_has_grown():
+    agent = Agent()
+    echo_ms = agent.now_ms
+    _shrink(agent, accelerators=16)
+    agent.order(starts=[START], echo_ms=echo_ms)
+    assert agent.calls(worker_calls.StartCall)
+
+
+# Guards against a start that is repeated, or carried out late, on a worker
+# that has shrunk since the first call.
+def test_unanswered_start_is_stopped_once_the_worker_shrinks():
+    agent = Agent()
+    agent.order(starts=[START])
+    (start,) = agent.calls(worker_calls.StartCall)
+    unknown = worker_calls.CallReply(worker_calls.CallStatus.UNKNOWN)
+    agent.supervisor.on_start_reply(start, unknown, agent.now_ms)
+    _shrink(agent)
+    agent.now_ms += 500
+    agent.order()
+    due = agent.supervisor.due_calls(agent.now_ms)
+    assert not any(isinstance(c, worker_calls.StartCall) for c in due)
+    assert any(isinstance(c, worker_calls.StopCall) for c in due)
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/fleet.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/fleet.py
@@ -126,6 +126,25 @@
             and not run.is_stopping
         ]
 
+    def excess_starts(self) -> list[ActiveRun]:
+        """Return the unsent starts for which the worker lacks capacity.
+
+        It may have shrunk since they were planned, or since they were sent in
+        an earlier session.
+        """
+        if not self.capacity.is_overcommitted:
+            return []
+        return [
+            run
+            for run in self.capacity.run_by_key.values()
+            if not (
+                run.sent_sequence
+                or run.is_confirmed
+                or run.is_inherited
+                or run.is_stopping
+            )
+        ]
+
     def update(self, report: messages.WorkerReport, now_ms: int) -> bool:
         """Apply the worker's capacity and state from a report.
 
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -911,6 +911,8 @@
                 continue
             for run in link.expired_starts(now_ms):
                 self._runs.withdraw(run, 'start order expired')
+            for run in link.excess_starts():
+                self._runs.withdraw(run, 'worker has shrunk')
             self._last_sequence += 1
             link_orders = link.take_orders(
                 self.generation,
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/capacity.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/capacity.py
@@ -186,6 +186,8 @@
     :param is_unresponsive: whether its runs stand still in this round.
     :param is_on_probation: whether it runs a task that may crash it, so that
         nothing else starts there; see :mod:`crashes`.
+    :param is_overcommitted: whether its runs need more of a resource than it
+        has, since it has shrunk. No tasks start there, of whatever shape.
     :param has_starts: whether this planning round starts tasks there.
     :param failures: failed runs since the last success of a run that
         started after them.
@@ -222,6 +224,7 @@
     failures: int = 0
     is_unresponsive: bool = False
     is_on_probation: bool = False
+    is_overcommitted: bool = False
     has_starts: bool = False
     committed_cpu: int = 0
     committed_memory: int = 0
@@ -271,6 +274,9 @@
             self.occupy(run.step)
             if run.task.crashes and crashes.is_suspect(run.task):
                 self.is_on_probation = True
+        self.is_overcommitted = (
+            min(self.free_cpu, self.free_memory, self.free_accelerators) < 0
+        )
 
     def free_capacity(self) -> FreeCapacity:
         """Return a copy of the free capacity that is not committed."""
@@ -298,6 +304,8 @@
 
     def fitting_count(self, step: jobs.Step) -> int:
         """Return how many tasks of a step fit into the free capacity."""
+        if self.is_overcommitted:
+            return 0
         return _fitting_count(
             step, self.free_cpu, self.free_memory, self.free_accelerators
         )
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/world.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/world.py
@@ -374,6 +374,15 @@
 
         self._after(_CRASH_DURATION_MS, come_back)
 
+    def resize_worker(self, agent: _Agent) -> None:
+        """Let a worker shrink to a part of its capacity, or grow again."""
+        share = self.random.choice([0.25, 0.5, 1.0])
+        agent.worker.resize(
+            int(workers.FULL_CPU_MILLIS * share),
+            int(workers.FULL_ACCELERATORS * share),
+            self.now_ms,
+        )
+
     def replace_worker(self, agent: _Agent) -> None:
         """Power-cycle a VM; its next worker has another id."""
         self.restart_worker(agent)
@@ -576,6 +585,9 @@
             started = worker.run_by_task.get(call.start.task)
             if started is not None and started is not previous:
                 self.oracle.check_start(worker, started, self.now_ms)
+                self.oracle.check_capacity(
+                    worker, self.now_ms, is_late=is_late
+                )
                 if not is_late:
                     self.oracle.check_evacuation(worker, started, self.now_ms)
                 if started.work.is_crashing:
--- a/packages/mulberryloom-standins/tests/test_job_simulation.py
+++ b/packages/mulberryloom-standins/tests/test_job_simulation.py
@@ -322,3 +322,53 @@
         world.state_of(f'{number:016x}') is jobs.JobState.COMPLETED
         for number in range(20)
     )
+
+
+# Guards against starts on workers that have shrunk, when orders are under way
+# or are carried out late, and the leader changes.
+@pytest.mark.parametrize('seed', range(4))
+def test_workers_that_shrink_and_grow_are_not_started_beyond_capacity(seed):
+    world = worlds.World(
+        seed, worlds.Faults(late_call_share=0.1, lost_reply_share=0.2)
+    )
+    world.run(1_500)
+    for number in range(40):
+        world.submit(f'{number:016x}', (_step(6),), duration_ms=1_500)
+        world.resize_worker(world.random.choice(world.agents))
+        if number % 10 == 9:
+            world.take_over()
+        world.run(400)
+    world.faults = worlds.Faults()
+    for agent in world.agents:
+        agent.worker.resize(16_000, 8, world.now_ms)
+    world.run(40_000)
+    world.check_all_ended()
+
+
+def test_oracle_detects_a_start_beyond_capacity():
+    world = _world()
+    world.submit('a' * 16, (_step(8),), duration_ms=60_000)
+    world.run(1_000)
+    holder = next(a for a in world.agents if a.worker.run_by_task)
+    holder.worker.resize(500, 8, world.now_ms)
+    world.oracle.check_capacity(holder.worker, world.now_ms, is_late=False)
+    world.run(oracle.SHRINK_GRACE_MS + 100)
+    with pytest.raises(oracle.Violation):
+        world.oracle.check_capacity(holder.worker, world.now_ms, is_late=False)
+
+
+# Guards against a start on a worker that shrank while the leader could not
+# write the record of the run.
+@pytest.mark.parametrize('seed', range(4))
+def test_run_recorded_long_after_its_worker_has_shrunk_does_not_start(seed):
+    world = worlds.World(seed)
+    world.run(1_500)
+    world.entry.can_reach_store = False
+    world.submit('a' * 16, (_step(32),), duration_ms=1_500)
+    world.run(100)
+    for agent in world.agents:
+        agent.worker.resize(4_000, 2, world.now_ms)
+    world.run(oracle.SHRINK_GRACE_MS + 500)
+    world.entry.can_reach_store = True
+    world.run(20_000)
+    world.check_all_ended()
