Clear tasks by runs of 10 s, and date starts that are carried out late

And the age of a start that a worker carried out seconds late counted from its first call, so that a crash right after it looked like that of an old run.

Change: a run that has lasted 10 s clears its task, and its crash is not counted; so a probation ends after 11 s. An unlisted run counts from the last list without it. The leader logs a crash once while the agent reports it.

Measured: both new tests fail without the change; tests of the agent, of crashes and of the simulation pass.

--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/crash_history.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/crash_history.py
@@ -25,11 +25,14 @@
 class _TrackedRun:
     """A run that may be on the worker.
 
-    :param since_ms: when its start was first sent or, if an earlier process
-        of the agent sent it, when it was first listed.
+    :param sent_ms: when its start was first sent, or it was first listed.
+    :param since_ms: earliest time at which it may have begun: when its start
+        was first sent, when a list was read that still lacked it or, if an
+        earlier process of the agent sent the start, when it was first listed.
     :param is_listed: whether the worker has listed it.
     """
 
+    sent_ms: int
     since_ms: int
     is_listed: bool = False
 
@@ -50,7 +53,7 @@
 
     def note_start(self, key: RunKey, now_ms: int) -> None:
         """Track a run whose start is sent."""
-        self._run_by_key.setdefault(key, _TrackedRun(now_ms))
+        self._run_by_key.setdefault(key, _TrackedRun(now_ms, now_ms))
 
     def forget_unlisted(self, key: RunKey) -> None:
         """Stop to track a run that has not begun and cannot begin."""
@@ -81,13 +84,17 @@
         self.note_answer()
         listed = set(running)
         for key in listed:
-            run = self._run_by_key.setdefault(key, _TrackedRun(now_ms))
+            run = self._run_by_key.setdefault(key, _TrackedRun(now_ms, now_ms))
             run.is_listed = True
         over = set(ended)
         for key, run in list(self._run_by_key.items()):
-            is_lost = now_ms - run.since_ms > self._order_ttl_ms
-            if key not in listed and (run.is_listed or is_lost or key in over):
+            is_lost = now_ms - run.sent_ms > self._order_ttl_ms
+            if key in listed:
+                continue
+            if run.is_listed or is_lost or key in over:
                 del self._run_by_key[key]
+            else:
+                run.since_ms = now_ms
 
     def end_incarnation(
         self, worker: str, boot: int, now_ms: int, *, is_planned: bool
--- a/packages/mulberryloom-agent/tests/test_worker_supervisor.py
+++ b/packages/mulberryloom-agent/tests/test_worker_supervisor.py
@@ -803,3 +803,27 @@
     due = agent.supervisor.due_calls(agent.now_ms)
     assert not any(isinstance(c, worker_calls.StartCall) for c in due)
     assert any(isinstance(c, worker_calls.StopCall) for c in due)
+
+
+# Guards against a crash that is taken for one of an old run, since the worker
+# carried the start out seconds after it was sent.
+def test_age_of_a_run_that_begins_late_counts_from_the_last_list_without_it():
+    agent = Agent()
+    agent.order(starts=[START])
+    open_hold, start = agent.supervisor.due_calls(agent.now_ms)
+    unknown = worker_calls.CallStatus.UNKNOWN
+    agent.supervisor.on_start_reply(
+        start, worker_calls.CallReply(unknown), agent.now_ms
+    )
+    agent.now_ms += 6_000
+    (hold,) = agent.calls()
+    agent.supervisor.on_hold_reply(
+        hold, _hold_reply(agent.now_ms), agent.now_ms
+    )
+    agent.now_ms += 30
+    agent.supervisor.on_hold_reply(
+        open_hold, worker_calls.HoldReply(unknown), agent.now_ms
+    )
+    agent.supervisor.on_heartbeat(_info(boot=2), agent.now_ms)
+    (run,) = agent.supervisor.take_report(agent.now_ms).crashed_runs
+    assert run.age_ms == 30
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/crash_attribution.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/crash_attribution.py
@@ -35,7 +35,7 @@
 
     __slots__ = (
         '_decision_log',
-        '_logged_crashes',
+        '_known_crashes_by_vm',
         '_metrics',
         '_records',
         '_runs',
@@ -52,8 +52,8 @@
         self._runs = runs
         self._decision_log = decision_log
         self._metrics = metrics
-        # Only the last one on each VM: a VM runs one worker at a time.
-        self._logged_crashes: dict[str, fleet.WorkerKey] = {}
+        # Those that the agent of the VM still reports.
+        self._known_crashes_by_vm: dict[str, set[fleet.WorkerKey]] = {}
 
     def apply(
         self, node: str, report: messages.WorkerReport
@@ -68,9 +68,12 @@
         for run in report.crashed_runs:
             key = (run.worker, run.boot)
             runs_by_worker.setdefault(key, []).append(run)
+        known = self._known_crashes_by_vm.get(vm, set())
+        self._known_crashes_by_vm[vm] = set(runs_by_worker)
         failed_jobs = []
         for key, runs in runs_by_worker.items():
-            self._log_crash(key, vm, report.worker, runs)
+            if key not in known:
+                self._log_crash(key, vm, report.worker, runs)
             for run in runs:
                 job = self._note(run.task, crashes.crash_of(vm, run, runs))
                 if job is not None:
@@ -84,10 +87,6 @@
         successor: str,
         runs: list[messages.CrashedRun],
     ) -> None:
-        last_key = self._logged_crashes.get(vm)
-        if last_key is not None and key[1] <= last_key[1]:
-            return
-        self._logged_crashes[vm] = key
         self._metrics.count('worker_crashes_total')
         _log.warning(
             'worker crashed',
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/crashes.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/crashes.py
@@ -20,13 +20,16 @@
 ALIKE_MS = 100
 #: Difference in age from which on a run counts as clearly older.
 CLEARLY_OLDER_MS = 500
+#: Age from which a run shows that its task crashes no worker by starting. It
+#: also bounds the time for which a suspect task keeps others off its worker.
+PROVEN_AGE_MS = 10_000
 #: Time by which a run has to outlive the earlier ones.
 PROBATION_MARGIN_MS = 1_000
 #: Crashes on different VMs, the last one on probation, that suffice.
 _CRASHES_ON_PROBATION = 2
 #: Crashes that suffice if all of them came soon after a start.
 _EARLY_CRASHES = 3
-#: Crashes that suffice in any case.
+#: Crashes that suffice at any age below ``PROVEN_AGE_MS``.
 MAX_CRASHES = 4
 
 
@@ -62,10 +65,15 @@
 def note_crash(task: jobs.Task, crash: jobs.Crash) -> bool:
     """Add a crash to those of a task, unless it is known or refuted.
 
+    A run that is old enough refutes the earlier crashes instead.
+
     :return: whether it was added.
     """
     if task.is_done or crash.run_number <= task.proven_run:
         return False
+    if crash.age_ms >= PROVEN_AGE_MS:
+        clear(task, crash.run_number)
+        return False
     if any(known.run_number == crash.run_number for known in task.crashes):
         return False
     task.crashes.append(crash)
--- a/packages/mulberryloom-policy/tests/test_crashes.py
+++ b/packages/mulberryloom-policy/tests/test_crashes.py
@@ -79,6 +79,16 @@
     assert crashes.is_at_fault(_task(*found))
 
 
+# Guards against workers that take no tasks for hours, since a task that ran as
+# long before a crash is on probation there.
+def test_run_of_some_age_clears_its_task_instead_of_counting_its_crash():
+    task = _task(_crash(1, age_ms=9_000))
+    old = _crash(2, age_ms=crashes.PROVEN_AGE_MS)
+    assert not crashes.note_crash(task, old)
+    assert task.crashes == []
+    assert task.proven_run == 2
+
+
 def test_each_crash_counts_once_and_none_before_a_run_that_cleared_the_task():
     task = _task(_crash(3))
     assert not crashes.note_crash(task, _crash(3))
