--- a/packages/mulberryloom-core/tests/test_job_documents.py
+++ b/packages/mulberryloom-core/tests/test_job_documents.py
@@ -79,3 +79,16 @@
         'crashes': 0,
     }
     assert description['steps'][1]['done'] == 0
+
+
+def test_describe_tells_why_a_job_failed_and_counts_crashes():
+    spec = jobs.JobSpec('', (jobs.Step(1),))
+    terms = jobs.JobTerms('rental/fit', 'rental', 'accra', 1)
+    job = jobs.Job.from_spec('j1', spec, terms, 5)
+    assert 'failure' not in job_documents.describe(job)
+    (task,) = job.task_by_key.values()
+    task.crashes = [jobs.Crash(1, 'vm', 7, True, True)] * 2
+    job.fail(jobs.JobFailure.CRASHES)
+    description = job_documents.describe(job)
+    assert description['failure'] == 'worker-crashes'
+    assert description['steps'][0]['crashes'] == 2
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
@@ -200,13 +200,13 @@
                 key = (job.job_id, repetition, step_index)
                 since_ms = self._pending_since_by_step.get(key, now_ms)
                 pending_since_by_step[key] = since_ms
-                for tasks, is_suspect in _by_suspicion(step, unstarted):
+                for startable, is_suspect in _by_suspicion(step, unstarted):
                     yield PendingStep(
                         job,
                         repetition,
                         step_index,
                         step,
-                        tasks,
+                        startable,
                         now_ms - since_ms,
                         is_suspect,
                     )
