--- a/packages/mulberryloom-core/src/mulberryloom_core/request/job_records.py
+++ b/packages/mulberryloom-core/src/mulberryloom_core/request/job_records.py
@@ -164,4 +164,4 @@
     repetition, step, index, proven_run, crashes = row
     task = job.task_by_key[jobs.TaskKey(repetition, step, index)]
     task.proven_run = proven_run
-    task.crashes = [jobs.Crash(*fields) for fields in crashes]
+    task.crashes = tuple(jobs.Crash(*fields) for fields in crashes)
--- a/packages/mulberryloom-core/src/mulberryloom_core/request/jobs.py
+++ b/packages/mulberryloom-core/src/mulberryloom_core/request/jobs.py
@@ -192,7 +192,7 @@
     checkpoint: str = ''
     is_done: bool = False
     run: Run | None = None
-    crashes: list[Crash] = dataclasses.field(default_factory=list)
+    crashes: tuple[Crash, ...] = ()
     proven_run: int = 0
 
 
--- a/packages/mulberryloom-core/tests/test_job_documents.py
+++ b/packages/mulberryloom-core/tests/test_job_documents.py
@@ -87,7 +87,7 @@
     job = jobs.Job.from_spec('j1', spec, terms, 5)
     assert 'failure' not in job_documents.describe(job)
     (task,) = job.task_by_key.values()
-    task.crashes = [jobs.Crash(1, 'vm', 7, True, True)] * 2
+    task.crashes = (jobs.Crash(1, 'vm', 7, True, True),) * 2
     job.fail(jobs.JobFailure.CRASHES)
     description = job_documents.describe(job)
     assert description['failure'] == 'worker-crashes'
--- a/packages/mulberryloom-core/tests/test_job_records.py
+++ b/packages/mulberryloom-core/tests/test_job_records.py
@@ -30,7 +30,7 @@
             task.last_run = 2
             task.run = jobs.Run(2, 'w', 5, 'vm')
             task.checkpoint = 'c'
-            task.crashes = [jobs.Crash(1, 'vm', 7, True, False)]
+            task.crashes = (jobs.Crash(1, 'vm', 7, True, False),)
             task.proven_run = 1
     job.failure = data.draw(st.sampled_from([None, *jobs.JobFailure]))
     assert job_records.decode(job_records.encode(job)).unwrap() == job
--- a/packages/mulberryloom-entry/tests/test_job_crashes.py
+++ b/packages/mulberryloom-entry/tests/test_job_crashes.py
@@ -226,7 +226,7 @@
     for _ in range(5):
         _early_crash(harness, has_lost_power=True)
     assert harness.advance(rounds=20)
-    assert harness.stored_job.task_by_key[KEY].crashes == []
+    assert harness.stored_job.task_by_key[KEY].crashes == ()
 
 
 def test_task_that_outlives_its_probation_is_cleared():
@@ -234,7 +234,7 @@
     _early_crash(harness)
     harness.advance(rounds=200)
     task = harness.stored_job.task_by_key[KEY]
-    assert task.crashes == []
+    assert task.crashes == ()
     assert task.proven_run == task.last_run == 2
     (vm,) = (vm for vm in VMS if harness.running[vm])
     harness.crash(vm)
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/crashes.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/crashes.py
@@ -76,7 +76,7 @@
         return False
     if any(known.run_number == crash.run_number for known in task.crashes):
         return False
-    task.crashes.append(crash)
+    task.crashes += (crash,)
     return True
 
 
@@ -88,7 +88,7 @@
 
 def clear(task: jobs.Task, run_number: int) -> None:
     """Drop the crashes of a task, one of whose runs has cleared it."""
-    task.crashes = []
+    task.crashes = ()
     task.proven_run = max(task.proven_run, run_number)
 
 
--- a/packages/mulberryloom-policy/tests/test_crashes.py
+++ b/packages/mulberryloom-policy/tests/test_crashes.py
@@ -85,7 +85,7 @@
     task = _task(_crash(1, age_ms=9_000))
     old = _crash(2, age_ms=crashes.PROVEN_AGE_MS)
     assert not crashes.note_crash(task, old)
-    assert task.crashes == []
+    assert task.crashes == ()
     assert task.proven_run == 2
 
 
