--- a/packages/mulberryloom-agent/tests/test_worker_supervisor.py
+++ b/packages/mulberryloom-agent/tests/test_worker_supervisor.py
@@ -724,10 +724,12 @@
     assert (run.task, run.run_number, run.age_ms) == (START.task, 1, 50)
 
 
+# Guards against a planned exchange that counts as a crash.
 def test_worker_that_has_drained_has_not_crashed():
     assert not _crashed_runs_after_replacement(is_planned=True)
 
 
+# Guards against blame for a task that never began on the worker.
 def test_refused_start_is_not_reported_as_lost_by_a_crash():
     agent = Agent()
     agent.order(starts=[START])
@@ -738,6 +740,7 @@
     assert not agent.supervisor.take_report(agent.now_ms).crashed_runs
 
 
+# Guards against reports that grow with each crash.
 def test_crash_is_no_longer_reported_after_a_while():
     agent = Agent()
     agent.order(starts=[START])
@@ -781,6 +784,7 @@
     assert agent.calls(worker_calls.StartCall)
 
 
+# Guards against starts that are refused without need.
 def test_start_is_sent_to_a_worker_that_has_grown():
     agent = Agent()
     echo_ms = agent.now_ms
--- a/packages/mulberryloom-entry/tests/test_job_crashes.py
+++ b/packages/mulberryloom-entry/tests/test_job_crashes.py
@@ -213,6 +213,7 @@
     assert [crash.run_number for crash in task.crashes] == [1]
 
 
+# Guards against a job that fails by one crash that is reported again.
 def test_report_of_a_crash_that_is_repeated_counts_once():
     harness = _running_harness()
     _early_crash(harness)
@@ -229,6 +230,7 @@
     assert harness.stored_job.task_by_key[KEY].crashes == ()
 
 
+# Guards against a sound task that stays suspect.
 def test_task_that_outlives_its_probation_is_cleared():
     harness = _running_harness()
     _early_crash(harness)
--- a/packages/mulberryloom-entry/tests/test_job_leader.py
+++ b/packages/mulberryloom-entry/tests/test_job_leader.py
@@ -529,6 +529,7 @@
     assert not any(harness.stored_job.active_tasks())
 
 
+# Guards against starts that are withdrawn without need.
 def test_run_starts_if_its_worker_has_grown_again_by_then():
     harness = _harness_with_unstored_run()
     harness.report(accelerators=4)
@@ -551,6 +552,7 @@
     assert harness.stopped_runs() == [1]
 
 
+# Guards against a gang that runs in part on a worker that has shrunk.
 def test_gang_is_withdrawn_as_a_whole_if_its_worker_shrinks():
     harness = LeaderHarness()
     harness.report()
--- a/packages/mulberryloom-policy/tests/test_crashes.py
+++ b/packages/mulberryloom-policy/tests/test_crashes.py
@@ -35,6 +35,7 @@
     assert crashes.is_suspect(new)
 
 
+# Guards against blame by chance: a crash does not tell these tasks apart.
 def test_tasks_that_started_at_the_same_time_are_all_suspect():
     runs = _crashed_runs(a=10, b=200)
     for run in runs:
@@ -48,6 +49,7 @@
     assert not crashes.is_at_fault(_task(_crash(1), _crash(2)))
 
 
+# Guards against a third worker that crashes under a task.
 def test_two_crashes_on_different_vms_suffice_on_probation():
     assert crashes.is_at_fault(_task(_crash(1), _crash(2, 'vm2')))
 
@@ -89,6 +91,7 @@
     assert task.proven_run == 2
 
 
+# Guards against crashes that count twice, as agents repeat their reports.
 def test_each_crash_counts_once_and_none_before_a_run_that_cleared_the_task():
     task = _task(_crash(3))
     assert not crashes.note_crash(task, _crash(3))
@@ -125,6 +128,7 @@
     assert sorted(_names(region.run_round())) == ['w0', 'w1', 'w2']
 
 
+# Guards against tasks that are lost with a suspect one.
 def test_nothing_starts_on_a_worker_on_probation():
     region = _region(2)
     _suspect(region.submit(regions.step(1, 1)))
@@ -135,6 +139,7 @@
     assert on_probation not in _names(plan)
 
 
+# Guards against workers that stay closed after a probation.
 def test_worker_takes_tasks_again_once_its_suspect_is_cleared():
     region = _region(1)
     task = _suspect(region.submit(regions.step(1, 1)))
@@ -145,6 +150,7 @@
     assert region.run_round(after_ms=100).starts
 
 
+# Guards against a second crash that could be that of a recent start.
 def test_suspect_task_waits_until_recent_starts_are_older():
     region = _region(1)
     region.submit(regions.step(1, 1))
@@ -154,6 +160,7 @@
     assert region.run_round(after_ms=crashes.CLEARLY_OLDER_MS * 2).starts
 
 
+# Guards against urgent runs that are lost by a probation.
 def test_suspect_task_starts_where_a_crash_costs_least():
     region = _region()
     for worker, priority in zip(region.workers, (0, 1), strict=False):
@@ -175,12 +182,14 @@
     assert _names(region.run_round()) == ['w1']
 
 
+# Guards against a suspect task that waits for ever for another VM.
 def test_suspect_task_of_a_single_vm_starts_there_again():
     region = _region(1)
     _suspect(region.submit(regions.step(1, 1)), vm='vm-w0')
     assert _names(region.run_round()) == ['w0']
 
 
+# Guards against a gang whose crash could be that of a recent start.
 def test_gang_with_a_suspect_member_starts_apart_from_recent_starts():
     region = _region(3)
     region.submit(regions.step(1, 1))
@@ -192,6 +201,7 @@
     assert not set(_names(plan)) & set(busy)
 
 
+# Guards against sound tasks that are held up by a suspect one.
 def test_other_tasks_of_a_step_do_not_wait_for_its_suspect_ones():
     region = _region(1)
     job = region.submit(regions.step(3, 1))
