Blame no worker for a gang member whose worker is silent

Callers saw: a job stayed in state running, since sound workers waited out a backoff of up to 30 s. Cause: until the next worker registers, 3.3 s after a crash, the other members of its gang list no progress; each was stopped as stalled, and its worker blamed. Now the time without progress of a gang's run ends with the oldest of the members' last lists, for stalls and for workers whose runs stand still alike.

--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/gangs.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/gangs.py
@@ -38,6 +38,21 @@
             self._members_by_gang = _group(self._workers)
         return self._members_by_gang.get(_gang_key(run), [run])
 
+    def idle_ms(self, run: ActiveRun) -> int:
+        """Return the time over which a run could progress and did not.
+
+        The members of a gang progress only while all of them are present, so
+        the time ends with the oldest of their lists: a worker that has been
+        silent since may have lost its member.
+        """
+        if not run.step.is_gang:
+            return run.unchanged_ms
+        members = self.members_of(run)
+        if is_waiting_for_members(run, members):
+            return 0
+        listed_ms = min(member.last_listed_ms for member in members)
+        return max(0, listed_ms - run.progress_listed_ms)
+
 
 def is_waiting_for_members(
     run: ActiveRun, members: t.Iterable[ActiveRun]
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/health.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/health.py
@@ -4,6 +4,7 @@
 
 from .capacity import ActiveRun
 from .capacity import WorkerCapacity
+from .gangs import GangRuns
 from .options import PlanOptions
 
 _COMPLETE_PERCENT = 100
@@ -40,7 +41,9 @@
     )
 
 
-def is_unresponsive(worker: WorkerCapacity, options: PlanOptions) -> bool:
+def is_unresponsive(
+    worker: WorkerCapacity, gang_runs: GangRuns, options: PlanOptions
+) -> bool:
     """Whether none of a worker's runs progresses, though some should.
 
     Runs that have finished their own work are not considered, since they may
@@ -59,7 +62,7 @@
         if run.unchanged_ms <= timeout_ms:
             return False
         timeout_ms += _PROGRESS_STEPS * _ms_per_percent(run, options)
-        if run.unchanged_ms <= timeout_ms:
+        if gang_runs.idle_ms(run) <= timeout_ms:
             return False
         has_unchanged_run = True
     return has_unchanged_run
@@ -110,7 +113,11 @@
 
 
 def is_stalled(
-    run: ActiveRun, options: PlanOptions, *, is_worker_unresponsive: bool
+    run: ActiveRun,
+    options: PlanOptions,
+    *,
+    is_worker_unresponsive: bool,
+    gang_runs: GangRuns | None = None,
 ) -> bool:
     """Whether a run has made no progress within its stall timeout.
 
@@ -122,6 +129,9 @@
 
     An urgent run on an unresponsive worker waits no longer than it would
     take to repeat its work, since its job soon completes late otherwise.
+
+    :param gang_runs: the active runs of gangs, in which a run waits for other
+        members; ``None`` to look at the run alone.
     """
     if not run.is_confirmed or run.step.is_lasting:
         return False
@@ -142,7 +152,8 @@
             options.urgent_stall_timeout_ms, repeated_ms
         )
         timeout_ms = min(timeout_ms, urgent_timeout_ms)
-    return run.unchanged_ms > timeout_ms
+    idle_ms = gang_runs.idle_ms(run) if gang_runs else run.unchanged_ms
+    return idle_ms > timeout_ms
 
 
 def _ms_per_percent(run: ActiveRun, options: PlanOptions) -> int:
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/relocation.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/relocation.py
@@ -41,7 +41,7 @@
         """
         for worker in workers:
             worker.is_unresponsive = health.is_unresponsive(
-                worker, self._options
+                worker, self._gang_runs, self._options
             )
             for run in list(worker.run_by_key.values()):
                 if run.is_stopping or not run.is_recorded:
@@ -49,20 +49,15 @@
                 if worker.is_draining:
                     if self._must_stop(run, worker, now_ms):
                         yield run, 'worker draining'
-                elif self._is_stalled(run, worker):
+                elif health.is_stalled(
+                    run,
+                    self._options,
+                    is_worker_unresponsive=worker.is_unresponsive,
+                    gang_runs=self._gang_runs,
+                ):
                     health.note_failure(worker, now_ms, self._options)
                     yield run, 'no progress'
 
-    def _is_stalled(self, run: ActiveRun, worker: WorkerCapacity) -> bool:
-        if not health.is_stalled(
-            run,
-            self._options,
-            is_worker_unresponsive=worker.is_unresponsive,
-        ):
-            return False
-        members = self._gang_runs.members_of(run)
-        return not gangs.is_waiting_for_members(run, members)
-
     def _must_stop(
         self, run: ActiveRun, worker: WorkerCapacity, now_ms: int
     ) -> bool:
--- a/packages/mulberryloom-policy/tests/test_job_planner.py
+++ b/packages/mulberryloom-policy/tests/test_job_planner.py
@@ -353,6 +353,19 @@
     assert region.run_round(8_000).stops == []
 
 
+# Guards against gangs that are stopped, and sound workers that are kept out,
+# since the worker of one member has crashed and is silent.
+def test_gang_members_beside_one_on_a_silent_worker_are_not_stalled():
+    region = regions.Region([regions.worker(index) for index in range(3)])
+    runs = _run_gang(region, [40, 40, 40])
+    for run in runs:
+        run.progress_listed_ms = regions.NOW_MS + 1_000
+    runs[2].last_listed_ms = regions.NOW_MS + 1_500
+    assert region.run_round(8_000).stops == []
+    assert [worker.failures for worker in region.workers] == [0, 0, 0]
+    assert not any(worker.is_unresponsive for worker in region.workers)
+
+
 def test_expected_end_of_gang_is_that_of_its_slowest_member():
     """Finished members seemed to free their workers at once."""
     region = regions.Region([regions.worker(1), regions.worker(2)])
--- a/packages/mulberryloom-standins/tests/test_job_simulation.py
+++ b/packages/mulberryloom-standins/tests/test_job_simulation.py
@@ -34,6 +34,7 @@
     (67, 18, 'a job was left running (issue 24)'),
     (91, 18, 'a job was left running (issue 24)'),
     (1_007, 18, 'heartbeats dated before an earlier incarnation were ignored'),
+    (20_081, 23, 'workers were blamed for a gang member on a crashed worker'),
 ]
 
 
