Blame no worker twice for a task that fails on others too

Callers saw: a gang waited beside an idle fleet, since sound workers waited out backoffs of up to 30 s. Cause: the backoff of a worker doubled with each failed run, whoever was to blame; four tasks that fail by themselves put two of four sound workers out. Now the failures of a task (a gang counts as one) that has failed on two workers double neither's backoff; the first 4 s stay, since a worker that fails all it starts looks the same.

The new test keeps four workers of which two failed the same four tasks; with the doubling they are out for 30 s. A second test holds that a worker that fails different tasks is kept out for longer as before.

--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -605,7 +605,9 @@
             self._worker_speeds.note_done(run, link.capacity, now_ms)
             self._on_run_done(run)
         elif run_end is jobs.RunEnd.FAILED:
-            health.note_failure(link.capacity, now_ms, self._options.plan)
+            self._planner.failure_attribution.note_failure(
+                link.capacity, run, now_ms
+            )
             self._on_run_failed(run)
         if run_end is not jobs.RunEnd.DONE:
             self._runs.stop_other_members(run, 'another gang member ended')
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/capacity.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/capacity.py
@@ -13,6 +13,8 @@
 
 #: Name of a task and number of its run.
 RunKey: t.TypeAlias = tuple[str, int]
+#: Id of the job, and name of the task or of the gang.
+BlamedTask: t.TypeAlias = tuple[str, str]
 #: Speed of a worker on which tasks take their declared durations.
 NOMINAL_SPEED_PERMILLE = 1_000
 
@@ -191,6 +193,8 @@
     :param has_starts: whether this planning round starts tasks there.
     :param failures: failed runs since the last success of a run that
         started after them.
+    :param blamed_tasks: tasks of these failures, one for each, without those
+        that have failed on other workers too.
     :param committed_cpu: CPU capacity committed in this planning round, to
         tasks that start and to reservations, in thousandths of a core;
         ``committed_memory`` (MB) and ``committed_accelerators`` likewise.
@@ -222,6 +226,7 @@
     backoff_until_ms: int = 0
     failed_ms: int = 0
     failures: int = 0
+    blamed_tasks: list[BlamedTask] = dataclasses.field(default_factory=list)
     is_unresponsive: bool = False
     is_on_probation: bool = False
     is_overcommitted: bool = False
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/gangs.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/gangs.py
@@ -84,6 +84,14 @@
     return members_by_gang
 
 
+def task_or_gang_name(run: ActiveRun) -> str:
+    """Return the name of a run's task, or one for all members of its gang."""
+    if not run.step.is_gang:
+        return run.name
+    key = run.task.key
+    return f'{run.job.job_id}.{key.repetition}.{key.step}'
+
+
 def _gang_key(run: ActiveRun) -> _GangKey:
     task: jobs.TaskKey = run.task.key
     return run.job.job_id, task.repetition, task.step, run.run.number
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/health.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/health.py
@@ -3,6 +3,7 @@
 from mulberryloom_core.request import jobs
 
 from .capacity import ActiveRun
+from .capacity import BlamedTask
 from .capacity import WorkerCapacity
 from .gangs import GangRuns
 from .options import PlanOptions
@@ -22,22 +23,44 @@
     if run.started_ms < worker.failed_ms:
         return
     worker.failures = 0
+    worker.blamed_tasks.clear()
     worker.backoff_until_ms = 0
 
 
 def note_failure(
-    worker: WorkerCapacity, now_ms: int, options: PlanOptions
+    worker: WorkerCapacity,
+    now_ms: int,
+    options: PlanOptions,
+    task: BlamedTask = ('', ''),
 ) -> None:
     """Record a failed run and give its worker no new tasks for a while.
 
     The backoff doubles with each consecutive failure, so that a worker on
     which every task fails uses up few of the attempts of jobs.
+
+    :param task: the task of the run, if it is known.
     """
     worker.failed_ms = now_ms
     worker.failures += 1
-    backoff_ms = options.failure_backoff_ms << (worker.failures - 1)
-    worker.backoff_until_ms = now_ms + min(
-        backoff_ms, options.max_failure_backoff_ms
+    worker.blamed_tasks.append(task)
+    _set_backoff(worker, options)
+
+
+def excuse(
+    worker: WorkerCapacity, task: BlamedTask, options: PlanOptions
+) -> None:
+    """Shorten the backoff of a worker by the failures of one task."""
+    if task in worker.blamed_tasks:
+        worker.blamed_tasks[:] = [
+            blamed for blamed in worker.blamed_tasks if blamed != task
+        ]
+        _set_backoff(worker, options)
+
+
+def _set_backoff(worker: WorkerCapacity, options: PlanOptions) -> None:
+    doublings = max(0, len(worker.blamed_tasks) - 1)
+    worker.backoff_until_ms = worker.failed_ms + min(
+        options.failure_backoff_ms << doublings, options.max_failure_backoff_ms
     )
 
 
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
@@ -19,6 +19,7 @@
 from . import warm_placement
 from .capacity import TaskDemand
 from .capacity import WorkerCapacity
+from .failure_attribution import FailureAttribution
 from .gangs import GangRuns
 from .open_workers import OpenWorkers
 from .options import PlanOptions
@@ -45,16 +46,21 @@
     """Plans all jobs of a region.
 
     :param options: limits and cost factors.
+    :ivar failure_attribution: records the runs that fail.
     """
 
     def __init__(self, options: PlanOptions) -> None:
         self._options = options
+        self.failure_attribution = FailureAttribution(options)
         self._gang_runs = GangRuns()
         self._estimator = valuation.Estimator(options, self._gang_runs)
         self._preemption_planner = PreemptionPlanner(options, self._estimator)
         self._reservation_finder = ReservationFinder(self._estimator)
         self._relocation = Relocation(
-            options, self._estimator, self._gang_runs
+            options,
+            self._estimator,
+            self._gang_runs,
+            self.failure_attribution,
         )
         self._urgent_load = UrgentLoad(options)
         self._speed_choice = SpeedChoice(self._estimator)
@@ -93,6 +99,8 @@
             work. Their runs continue.
         """
         ordered_jobs = list(open_jobs)
+        open_ids = {job.job_id for job in ordered_jobs}
+        self.failure_attribution.begin_round(workers, open_ids)
         fleet = OpenWorkers(workers, evacuated)
         self._gang_runs.begin_round(workers)
         self._estimator.begin_round(ordered_jobs, fleet.workers)
@@ -135,7 +143,6 @@
             ):
                 self._place(pending, state)
         self._pending_since_by_step = pending_since_by_step
-        open_ids = {job.job_id for job in ordered_jobs}
         self._preemption_cost_by_job = {
             job_id: cost
             for job_id, cost in self._preemption_cost_by_job.items()
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/relocation.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/relocation.py
@@ -7,6 +7,7 @@
 from . import valuation
 from .capacity import ActiveRun
 from .capacity import WorkerCapacity
+from .failure_attribution import FailureAttribution
 from .options import PlanOptions
 
 
@@ -16,6 +17,7 @@
     :param options: limits and cost factors.
     :param estimator: expected durations of runs.
     :param gang_runs: the active runs of gangs.
+    :param failure_attribution: records the stalls.
     """
 
     def __init__(
@@ -23,10 +25,12 @@
         options: PlanOptions,
         estimator: valuation.Estimator,
         gang_runs: gangs.GangRuns,
+        failure_attribution: FailureAttribution,
     ) -> None:
         self._options = options
         self._estimator = estimator
         self._gang_runs = gang_runs
+        self._failure_attribution = failure_attribution
 
     def runs_to_stop(
         self, workers: list[WorkerCapacity], now_ms: int
@@ -55,7 +59,7 @@
                     is_worker_unresponsive=worker.is_unresponsive,
                     gang_runs=self._gang_runs,
                 ):
-                    health.note_failure(worker, now_ms, self._options)
+                    self._failure_attribution.note_failure(worker, run, now_ms)
                     yield run, 'no progress'
 
     def _must_stop(
--- a/packages/mulberryloom-policy/tests/test_job_planner.py
+++ b/packages/mulberryloom-policy/tests/test_job_planner.py
@@ -295,6 +295,48 @@
     assert len(starts) == 16
 
 
+# Guards against sound workers that are kept out for up to 30 s by tasks that
+# fail wherever they run, while a gang waits beside an idle fleet.
+def test_workers_are_not_blamed_repeatedly_for_tasks_that_fail_elsewhere():
+    region = regions.Region([regions.worker(index) for index in range(4)])
+    options = policy.PlanOptions()
+    first, second = region.workers[:2]
+    for _ in range(4):
+        job = region.submit(regions.step(1, 1))
+        for worker in (first, second):
+            (task,) = job.task_by_key.values()
+            run = region.start_run(job, task, worker)
+            region.planner.failure_attribution.note_failure(
+                worker, run, region.now_ms
+            )
+            region.end_run(run)
+        task.is_done = True
+    gang = region.submit(regions.step(4, 8, is_gang=True))
+    region.run_round(options.failure_backoff_ms + 100)
+    assert len(region.runs(gang)) == 4
+
+
+# Guards against a failing worker that is trusted, since one of the tasks that
+# it fails has failed elsewhere.
+def test_worker_that_fails_different_tasks_is_kept_out_for_longer():
+    region = regions.Region([regions.worker(1), regions.worker(2)])
+    options = policy.PlanOptions()
+    failing, other = region.workers
+    for workers in ((failing, other), (failing,), (failing,)):
+        job = region.submit(regions.step(1, 1))
+        (task,) = job.task_by_key.values()
+        for worker in workers:
+            run = region.start_run(job, task, worker)
+            region.planner.failure_attribution.note_failure(
+                worker, run, region.now_ms
+            )
+            region.end_run(run)
+    region.run_round()
+    base_ms = region.now_ms + options.failure_backoff_ms
+    assert other.backoff_until_ms == base_ms
+    assert failing.backoff_until_ms == base_ms + options.failure_backoff_ms
+
+
 def test_failed_gang_uses_suspect_workers_if_no_others_are_enough():
     region = regions.Region([regions.worker(1), regions.worker(2)])
     options = policy.PlanOptions()
