Let runs on draining workers go on where that pays off

Change: such a run goes on while the work that it is likely to save exceeds the time that it is likely to waste. Expected ends that follow from reported progress count as accurate to two percent of the run.

--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/relocation.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/relocation.py
@@ -69,8 +69,8 @@
 
         A run that is expected to finish in time continues. Otherwise, a
         checkpointed run continues until the remaining time is just enough
-        to stop it; a run without checkpoints loses its work anyway and
-        stops at once, so that it restarts early.
+        to stop it. A run without checkpoints loses its work when it stops;
+        it continues while that pays off on average.
         """
         options = self._options
         remaining_ms = worker.drain_deadline_ms - now_ms
@@ -78,5 +78,21 @@
         if needed_ms + options.drain_margin_ms <= remaining_ms:
             return False
         if not run.step.is_checkpointed:
-            return True
+            return not self._is_worth_continuing(run, remaining_ms, now_ms)
         return remaining_ms <= options.stop_grace_ms + options.drain_margin_ms
+
+    def _is_worth_continuing(
+        self, run: ActiveRun, remaining_ms: int, now_ms: int
+    ) -> bool:
+        """Whether to wait for a run that its worker may not outlast.
+
+        If it finishes, its work so far is not repeated; otherwise it starts
+        elsewhere later by the time that its worker has left.
+
+        :param remaining_ms: time until its worker ends.
+        """
+        elapsed_ms = now_ms - run.started_ms
+        probability = self._estimator.probability_of_end(
+            run, now_ms, remaining_ms
+        )
+        return probability * elapsed_ms > (1 - probability) * remaining_ms
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/valuation.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/valuation.py
@@ -44,6 +44,8 @@
 _URGENCY_SCALE_MS = 5_000
 #: Typical error of expected durations, relative to them.
 _DURATION_ERROR = 0.25
+#: Error of reported progress, in percent of the run.
+_PROGRESS_ERROR = 2
 #: Longest time between two lists of a worker that show progress.
 _PROGRESS_VALID_MS = 2_500
 _MS_PER_S = 1_000
@@ -87,12 +89,9 @@
         the range of ends for which the job may complete in time or late.
         """
         duration_ms = delay_ms + self.remaining_ms
-        end_ms = wall_ms + duration_ms
-        if end_ms > self.cutoff_ms:
+        if wall_ms + duration_ms > self.cutoff_ms:
             return 0.0
-        range_ms = 2 * _DURATION_ERROR * max(1, duration_ms)
-        on_time = 0.5 + (self.target_ms - end_ms) / range_ms
-        on_time = min(1.0, max(0.0, on_time))
+        on_time = probability_within(self.target_ms - wall_ms, duration_ms)
         return self.late_share + on_time * (1.0 - self.late_share)
 
     def value_share(self, wall_ms: int, delay_ms: int = 0) -> float:
@@ -217,6 +216,24 @@
                 self._gang_remaining_ms_by_run[member.key] = remaining_ms
         return remaining_ms
 
+    def probability_of_end(
+        self, run: ActiveRun, now_ms: int, limit_ms: int
+    ) -> float:
+        """Return the probability that a run ends within a time from now.
+
+        Expected ends that follow from the reported progress are inaccurate
+        by the rounding of the progress, others by the error of the declared
+        duration.
+        """
+        remaining_ms = self.run_remaining_ms(run, now_ms)
+        done = run.progress - run.base_progress
+        if done < self._options.min_reliable_progress:
+            return probability_within(limit_ms, remaining_ms)
+        elapsed_ms = max(1, run.last_progress_ms - run.base_ms)
+        range_ms = 2 * _PROGRESS_ERROR * max(1, elapsed_ms // done)
+        on_time = 0.5 + (limit_ms - remaining_ms) / range_ms
+        return min(1.0, max(0.0, on_time))
+
     def _own_remaining_ms(self, run: ActiveRun, now_ms: int) -> int:
         """Return the expected time until a run has done its own work.
 
@@ -326,6 +343,15 @@
         return computed
 
 
+def probability_within(limit_ms: int, expected_ms: int) -> float:
+    """Return the probability that something takes no longer than a limit.
+
+    :param expected_ms: expected duration.
+    """
+    range_ms = 2 * _DURATION_ERROR * max(1, expected_ms)
+    return min(1.0, max(0.0, 0.5 + (limit_ms - expected_ms) / range_ms))
+
+
 def _remaining_counts(job: jobs.Job) -> list[int]:
     """Return how many tasks of each step are not done.
 
--- a/packages/mulberryloom-policy/tests/test_job_planner.py
+++ b/packages/mulberryloom-policy/tests/test_job_planner.py
@@ -790,6 +790,28 @@
     assert region.run_round().stops == []
 
 
+# Guards against gangs near their end that are stopped as one of their workers
+# drains, and lose all of their work.
+@pytest.mark.parametrize(
+    ('notice_ms', 'is_stopped'), [(5_100, False), (4_600, True)]
+)
+def test_run_on_draining_worker_goes_on_if_that_pays_off(
+    notice_ms, is_stopped
+):
+    region, run = _region_with_draining_run(notice_ms)
+    run.progress = 50
+    run.last_progress_ms = region.now_ms
+    assert bool(region.run_round().stops) is is_stopped
+
+
+# Guards against a run that has just started, and is left on a draining worker
+# that it is not likely to outlast.
+def test_short_lived_run_on_draining_worker_starts_again_elsewhere():
+    region, run = _region_with_draining_run(10_000)
+    run.started_ms = run.base_ms = region.now_ms - 200
+    assert [stop.run for stop in region.run_round().stops] == [run]
+
+
 def test_run_that_stalls_is_not_expected_to_end_soon():
     region, run = _region_with_draining_run(5_600)
     run.progress = 20
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/load/patterns.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/load/patterns.py
@@ -34,6 +34,8 @@
     :param width_spread: standard deviation of the logarithm of the width.
     :param memory_mb: memory per task, drawn uniformly; a sixteenth of a
         worker's if empty.
+    :param cancelled_share: share of the jobs that their callers cancel, at
+        any time up to the target duration of one wave.
     """
 
     name: str
@@ -55,6 +57,28 @@
     checkpointed_share: float = 0.0
     width_spread: float = 0.8
     memory_mb: tuple[int, ...] = ()
+    cancelled_share: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Replacement:
+    """Workers that are replaced in turn, some at a time.
+
+    :param from_ms: when the first new workers join.
+    :param share: share of the fleet that is replaced.
+    :param count: workers that are replaced together.
+    :param gap_ms: time between two such groups.
+    :param overlap_ms: time from the start of a new worker until the one that
+        it replaces drains.
+    :param notice_ms: time for which a draining worker goes on.
+    """
+
+    from_ms: int
+    share: float
+    count: int = 5
+    gap_ms: int = 750
+    overlap_ms: int = 2_000
+    notice_ms: int = 4_500
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -74,12 +98,14 @@
     :param at_ms: time of its submission.
     :param task_ms: actual duration of its tasks on a sound worker.
     :param job_class: class that it was drawn from.
+    :param cancelled_ms: when its caller cancels it; ``0`` for never.
     """
 
     at_ms: int
     job: jobs.Job
     task_ms: int
     job_class: JobClass
+    cancelled_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -106,6 +132,7 @@
     length_ms: int = 34_000
     bursts: tuple[Burst, ...] = ()
     speeds: tuple[float, ...] = ()
+    replacement: Replacement | None = None
 
     def speed_of(self, index: int) -> float:
         """Return the speed of a worker relative to the declared durations."""
@@ -114,21 +141,26 @@
     def build_workers(self) -> list[policy.WorkerCapacity]:
         """Return the workers of the fleet, all of them free."""
         return [
-            policy.WorkerCapacity(
-                f'w{index}',
-                1,
-                SERVICE,
-                'dc',
-                f'r{index // self.rack_size}',
-                frozenset({'a', f'r{index // self.rack_size}'}),
-                self.cpu_millis,
-                self.memory_mb,
-                8,
-                is_accepting=True,
-            )
+            self.build_worker(f'w{index}', index)
             for index in range(self.workers)
         ]
 
+    def build_worker(self, name: str, index: int) -> policy.WorkerCapacity:
+        """Return a free worker at a place of the fleet."""
+        rack = f'r{index // self.rack_size}'
+        return policy.WorkerCapacity(
+            name,
+            1,
+            SERVICE,
+            'dc',
+            rack,
+            frozenset({'a', rack}),
+            self.cpu_millis,
+            self.memory_mb,
+            8,
+            is_accepting=True,
+        )
+
     def draw_arrivals(self, seed: int, start_ms: int) -> list[Arrival]:
         """Return the jobs of one trial, by time.
 
@@ -193,7 +225,11 @@
             terms,
             at_ms,
         )
-        return Arrival(at_ms, job, int(task_ms), job_class)
+        cancelled_ms = 0
+        if job_class.cancelled_share > rng.random():
+            longest_ms = job_class.stretch * task_ms + job_class.slack_ms
+            cancelled_ms = at_ms + int(rng.uniform(0, longest_ms))
+        return Arrival(at_ms, job, int(task_ms), job_class, cancelled_ms)
 
     def _draw_account(self, rng: random.Random) -> int:
         if not self.account_skew:
@@ -268,6 +304,38 @@
     )  # fmt: skip
 
 
+def _wide_and_tight_classes(
+    long: tuple[float, float],
+    urgent: tuple[float, float],
+    wide: tuple[float, float],
+) -> tuple[JobClass, ...]:
+    """Return classes of which the urgent one has jobs of very unequal width.
+
+    :param long: arrivals per second and mean width of the long gangs, of
+        which a worker holds one task; ``urgent`` and ``wide`` likewise.
+    """
+    sizes = (1, 2, 4, 8, 8)
+    return (
+        JobClass(
+            'layout', 1, 3.0, 0.9, long[0], long[1], int(long[1] * 6),
+            13_000, sizes, 15_000, 0.3, 0.2, 3.0, 1_000, same_rack_share=0.6,
+            checkpointed_share=0.45, memory_mb=(34_000,),
+            cancelled_share=0.05,
+        ),
+        JobClass(
+            'confirm', 0, 4.0, 0.8, urgent[0], urgent[1], int(urgent[1] * 6),
+            3_700, sizes, 3_500, 0.5, 0.2, 1.5, 250, same_rack_share=0.8,
+            memory_mb=(7_600,),
+        ),
+        JobClass(
+            'digest', 2, 1.0, 0.3, wide[0], wide[1], int(wide[1] * 6),
+            2_800, (1,), 8_000, 0.3, 0.9, 3.0, 3_000, is_gang=False,
+            checkpointed_share=0.45, memory_mb=(5_700,),
+            cancelled_share=0.15,
+        ),
+    )  # fmt: skip
+
+
 ALL_PATTERNS = (
     Pattern(
         'small fleet, few jobs', 11, 3, 128_000, 256_000,
@@ -334,4 +402,21 @@
         guaranteed=16,
         bursts=(Burst('companion', 9_000, 15_000, 2.0),),
     ),
+    Pattern(
+        'wide and tight urgent gangs', 11, 3, 32_000, 65_536,
+        _wide_and_tight_classes((0.25, 2), (0.35, 4), (0.2, 9)),
+        guaranteed=16,
+        bursts=(Burst('confirm', 6_000, 12_000, 2.0),),
+        speeds=(1.0, 1.0, 1.3),
+    ),
+    Pattern(
+        'wide and tight urgent gangs while workers are replaced', 74, 12,
+        32_000, 65_536,
+        _wide_and_tight_classes((0.35, 8), (0.75, 5.4), (0.27, 39)),
+        accounts=10,
+        guaranteed=30,
+        bursts=(Burst('confirm', 6_000, 12_000, 2.0),),
+        speeds=(1.0, 1.0, 1.3),
+        replacement=Replacement(18_000, 0.4),
+    ),
 )  # fmt: skip
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/load/trial.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/load/trial.py
@@ -146,6 +146,12 @@
         """Play the trial to its end."""
         for arrival in self._arrivals:
             self._schedule(arrival.at_ms, lambda a=arrival: self._submit(a))
+            if arrival.cancelled_ms:
+                self._schedule(
+                    arrival.cancelled_ms, lambda a=arrival: self._cancel(a)
+                )
+        if self._pattern.replacement is not None:
+            self._schedule_replacement(self._pattern.replacement)
         end_ms = START_MS + self._pattern.length_ms + SETTLE_MS
         while self._now_ms < end_ms:
             self._advance()
@@ -185,6 +191,59 @@
         self._open_jobs[arrival.job.job_id] = arrival.job
         self._is_changed = True
 
+    def _cancel(self, arrival: patterns.Arrival) -> None:
+        job = self._open_jobs.pop(arrival.job.job_id, None)
+        if job is None:
+            return
+        self._is_changed = True
+        for worker in self._workers:
+            for run in list(worker.run_by_key.values()):
+                if run.job is job and not run.is_stopping:
+                    self._stop(run)
+
+    # Replacement of workers
+
+    def _schedule_replacement(self, plan: patterns.Replacement) -> None:
+        """Schedule the joins and drains of workers that are replaced."""
+        count = int(plan.share * len(self._workers))
+        places = self._rng.sample(range(len(self._workers)), count)
+        for position, place in enumerate(places):
+            at_ms = START_MS + plan.from_ms
+            at_ms += position // plan.count * plan.gap_ms
+            self._schedule(at_ms, lambda p=place: self._add_successor(p))
+            worker = self._workers[place]
+            self._schedule(
+                at_ms + plan.overlap_ms,
+                lambda w=worker: self._drain(w, plan.notice_ms),
+            )
+
+    def _add_successor(self, place: int) -> None:
+        """Add a worker of the speed and in the rack of the one at a place."""
+        worker = self._pattern.build_worker(f'n{place}', place)
+        self._speed_by_worker[worker.worker] = self._pattern.speed_of(place)
+        self._worker_by_name[worker.worker] = worker
+        self._workers.append(worker)
+        self._is_changed = True
+
+    def _drain(self, worker: policy.WorkerCapacity, notice_ms: int) -> None:
+        worker.is_accepting = False
+        worker.is_draining = True
+        worker.drain_deadline_ms = self._now_ms + notice_ms
+        self._is_changed = True
+        self._schedule(
+            worker.drain_deadline_ms, lambda: self._remove_worker(worker)
+        )
+
+    def _remove_worker(self, worker: policy.WorkerCapacity) -> None:
+        """Remove a worker; the gangs of its runs lose all their members."""
+        for run in list(worker.run_by_key.values()):
+            self._stop(run)
+            if run.step.is_gang:
+                self._stop_members(run)
+            self._remove(run)
+        self._workers.remove(worker)
+        self._is_changed = True
+
     def _plan(self) -> None:
         self._is_changed = False
         self._next_plan_ms = self._now_ms + PLAN_INTERVAL_MS
@@ -324,6 +383,8 @@
             self._stop(worker.run_by_key[name, task.run.number])
 
     def _remove(self, run: policy.ActiveRun) -> None:
+        if run.task.run is not run.run:
+            return
         self.used_accelerator_ms += run.step.accelerators * max(
             0,
             min(self._now_ms, START_MS + self._pattern.length_ms)
