--- a/packages/mulberryloom-policy/tests/test_job_planner.py
+++ b/packages/mulberryloom-policy/tests/test_job_planner.py
@@ -188,7 +188,7 @@
     for _ in range(20):
         region.now_ms += 100
         assert region.plan(may_preempt=False).stops == []
-    assert not region.planner._preemption_cost_by_job
+    assert not region.planner._commitments.preemption_cost_by_job
     region.run_round(100)
     region.end_stopping_runs()
     region.run_round(100)
@@ -686,7 +686,7 @@
     gang = region.submit(regions.step(8, 1, is_gang=True, estimate_ms=60_000))
     region.run_round()
     assert not region.runs(gang)
-    assert region.planner._reserved_ids == {gang.job_id}
+    assert region.planner._commitments.reserved_ids == {gang.job_id}
 
 
 def test_long_work_leaves_capacity_that_urgent_jobs_ask_for():
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/load/baselines.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/load/baselines.py
@@ -5,7 +5,7 @@
 from mulberryloom_core.request import jobs
 from mulberryloom_core.version import catalogue as catalogues
 from mulberryloom_policy import jobs as policy
-from mulberryloom_policy.jobs import planner as planners
+from mulberryloom_policy.jobs import plan as plans
 
 
 class ShortestFirst:
@@ -35,7 +35,7 @@
                 continue
             for task, worker in zip(waiting, placed, strict=False):
                 worker.commit(step)
-                plan.starts.append(planners.Start(job, task, worker))
+                plan.starts.append(plans.Start(job, task, worker))
         return plan
 
 
