Give the first attempts to connect short timeouts

Hypothesis: after all VMs have lost power, the first task starts 0.4 s later than it could. The first plan waits for the workers.

Change: the first three attempts to connect take 250 ms at most, later ones up to the former 2 s.

--- a/packages/mulberryloom-core/src/mulberryloom_core/connection/connector.py
+++ b/packages/mulberryloom-core/src/mulberryloom_core/connection/connector.py
@@ -8,13 +8,18 @@
 from . import outputs
 
 
+#: Attempts to connect that have the shortest timeout.
+_SHORT_ATTEMPTS = 3
+
+
 class Backoff:
     """Exponential retry backoff with jitter.
 
     Each pause is drawn at random from half the shortest pause up to a
     limit that doubles with every attempt, up to the longest pause.
 
-    :param options: ``reconnect_min_ms`` and ``reconnect_max_ms`` are used.
+    :param options: ``reconnect_min_ms``, ``reconnect_max_ms`` and the timeouts
+        of connecting are used.
     :param random_source: source of the jitter.
     """
 
@@ -31,6 +36,20 @@
         """Start again from the shortest pause, after a success."""
         self._attempts = 0
 
+    @property
+    def connect_timeout_ms(self) -> int:
+        """Timeout of the next connection attempt.
+
+        It doubles with every attempt after the first ones. These are short,
+        since a request to connect that is lost is repeated by the operating
+        system only after a second: a peer whose VM is starting would be
+        reached late.
+        """
+        shortest = self._options.connect_timeout_ms
+        longest = self._options.handshake_timeout_ms
+        doublings = max(0, self._attempts + 1 - _SHORT_ATTEMPTS)
+        return min(longest, shortest << min(doublings, 16))
+
     def next_ms(self) -> int:
         """Return the next pause in milliseconds."""
         shortest = self._options.reconnect_min_ms
@@ -44,9 +63,12 @@
 class Dialler(t.Protocol):
     """Interface of the node that a connector uses."""
 
-    async def dial(self, address: Address) -> outputs.PeerName | None:
+    async def dial(
+        self, address: Address, timeout_ms: int
+    ) -> outputs.PeerName | None:
         """Make one connection attempt.
 
+        :param timeout_ms: timeout of connecting, without the handshake.
         :return: the peer, once the handshake is complete; ``None`` when the
             attempt failed.
         """
@@ -98,7 +120,9 @@
             self._target_peer is None
             or self._dialler.has_session_or_messages(self._target_peer)
         ):
-            peer = await self._dialler.dial(self._address)
+            peer = await self._dialler.dial(
+                self._address, self._backoff.connect_timeout_ms
+            )
             if peer is not None:
                 self.peer = peer
                 self._backoff.reset()
--- a/packages/mulberryloom-core/src/mulberryloom_core/connection/node.py
+++ b/packages/mulberryloom-core/src/mulberryloom_core/connection/node.py
@@ -243,12 +243,13 @@
 
     # Called by connectors
 
-    async def dial(self, address: Address) -> outputs.PeerName | None:
+    async def dial(
+        self, address: Address, timeout_ms: int
+    ) -> outputs.PeerName | None:
         """Make one connection attempt; see :class:`connector.Dialler`."""
         loop = asyncio.get_running_loop()
-        timeout = self._options.handshake_timeout_ms / 1_000
         try:
-            async with asyncio.timeout(timeout):
+            async with asyncio.timeout(timeout_ms / 1_000):
                 _, link = await loop.create_connection(
                     lambda: _Link(self, address),
                     address.host,
--- a/packages/mulberryloom-core/src/mulberryloom_core/connection/options.py
+++ b/packages/mulberryloom-core/src/mulberryloom_core/connection/options.py
@@ -17,7 +17,10 @@
     :param session_timeout_ms: time without a connection after which a session
         ends, and after which messages queued for a peer without a session
         are dropped.
-    :param handshake_timeout_ms: timeout of connecting, and of the handshake.
+    :param connect_timeout_ms: timeout of the first attempts to connect; it
+        doubles up to ``handshake_timeout_ms``.
+    :param handshake_timeout_ms: longest timeout of connecting, and timeout of
+        the handshake.
     :param max_handshakes: most handshakes in progress at the same time.
     :param max_unacked: most unacknowledged messages of one session, which
         ends when it exceeds the limit; also the most messages queued for a
@@ -35,6 +38,7 @@
     ping_interval_ms: int = 1_500
     silence_timeout_ms: int = 3_000
     session_timeout_ms: int = 3_000
+    connect_timeout_ms: int = 250
     handshake_timeout_ms: int = 2_000
     max_handshakes: int = 64
     max_unacked: int = 4_096
