Start urgent work without the reports of workers lost with the power

Hypothesis: the first plan of a new leader waits 0.7 s whenever one worker of a recorded run is gone for good, also for urgent jobs.

Change: the first plan waits until no worker has reported anew for 150 ms, as before where all report. While a worker of a recorded run is missing, only work of the highest priority starts, until the 0.7 s are over; nothing is preempted.

Test: urgent work starts within 250 ms beside a worker that never reports, and batch work does not (failed before: 0 tasks).

--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -57,7 +57,8 @@
         is nothing to start or stop.
     :param startup_wait_ms: age of a term below which no run is stopped for
         other work, since workers with free resources may still report. The
-        first plan waits as long while workers keep reporting.
+        first plan waits as long while workers keep reporting, and work that
+        is not urgent while a worker of a recorded run has not reported.
     :param startup_quiet_ms: time without a newly adopted worker after which
         the first plan need not wait for more of them.
     :param startup_fill_wait_ms: age of a term below which no job starts
@@ -796,7 +797,7 @@
             return
         is_starting_up = self._startup.is_in_progress(now_ms)
         if is_starting_up and not (
-            self._link_by_key and self._startup.have_all_reported(now_ms)
+            self._link_by_key and self._startup.is_quiet(now_ms)
         ):
             return
         interval_ms = self._options.replan_interval_ms
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/startup.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/startup.py
@@ -40,27 +40,25 @@
         """Whether workers with free resources may still report."""
         return now_ms - self._started_ms < self._options.startup_wait_ms
 
-    def have_all_reported(self, now_ms: int) -> bool:
-        """Whether the workers of all recorded runs have reported.
-
-        False until no worker has been adopted for ``startup_quiet_ms``.
-        """
-        return (
-            not self._runs.orphans_by_worker
-            and now_ms - self._last_synced_ms >= self._options.startup_quiet_ms
-        )
+    def is_quiet(self, now_ms: int) -> bool:
+        """Whether no worker has been adopted for ``startup_quiet_ms``."""
+        quiet_ms = now_ms - self._last_synced_ms
+        return quiet_ms >= self._options.startup_quiet_ms
 
     def max_priority(self, now_ms: int) -> int | None:
         """Return the highest priority number that may start tasks.
 
         Less urgent work would take the capacity on which runs that were
-        lost have to start again.
+        lost have to start again. While workers of recorded runs may still
+        report, only the most urgent work starts.
 
         :return: the priority of the most urgent unconfirmed run; ``None``
             if there is none, and after ``startup_fill_wait_ms``.
         """
         if now_ms - self._started_ms >= self._options.startup_fill_wait_ms:
             return None
+        if self.is_in_progress(now_ms) and self._runs.orphans_by_worker:
+            return 0
         return min(
             (
                 run.job.terms.priority
--- a/packages/mulberryloom-entry/tests/test_job_power_failure.py
+++ b/packages/mulberryloom-entry/tests/test_job_power_failure.py
@@ -170,6 +170,20 @@
     assert len(region.started(urgent)) == 1
 
 
+# Guards against urgent work that waits for the reports of workers which were
+# lost for good with the power.
+def test_urgent_work_starts_once_the_other_workers_have_reported():
+    region = Region()
+    region.add_job(URGENT_ID, 0, _urgent_gang_steps(), ['w2', 'w2'])
+    region.add_job(BATCH_ID, 2, _batch_steps())
+    urgent = 'c' * 16
+    region.add_job(urgent, 0, (jobs.Step(1, accelerators=1),))
+    region.advance_to(OPTIONS.startup_quiet_ms + 100, ['w1'])
+    assert len(region.started(urgent)) == 1
+    region.advance_to(OPTIONS.startup_wait_ms - 100, ['w1'])
+    assert region.started(BATCH_ID) == []
+
+
 def test_a_silent_worker_that_had_only_batch_work_delays_nothing():
     region = Region()
     region.add_job(URGENT_ID, 2, (jobs.Step(1, accelerators=1),), ['w2'])
