Use the store itself again once its circuit closes

Cause: calls go to another entry first for 1 s after the last direct failure, also when the direct connection has answered since; the entries asked had lost power, and the relayed call took the rest of the callers' time.

Now an answer that closes the circuit ends that time. The new test submits after an outage beside a peer that does not answer; it failed before.

--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/gateway.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/gateway.py
@@ -173,6 +173,9 @@
         if is_reachable:
             self.last_reached_ms = now_ms
             self._circuit.record_answer()
+            if was_open:
+                # The outage is over, so that a relay would only cost time.
+                self._direct_failed_ms = now_ms - RELAY_FIRST_MS
         else:
             self._direct_failed_ms = now_ms
             self._circuit.record_failure()
--- a/packages/mulberryloom-entry/tests/test_job_intake.py
+++ b/packages/mulberryloom-entry/tests/test_job_intake.py
@@ -258,6 +258,7 @@
     def __init__(self):
         self.core = store_core.StoreCore()
         self.is_silent = True
+        self.timeout_s = CALL_TIMEOUT_S
         self.requests = []
 
     @property
@@ -267,7 +268,7 @@
     async def call(self, request):
         self.requests.append(request)
         if self.is_silent:
-            await asyncio.sleep(CALL_TIMEOUT_S)
+            await asyncio.sleep(self.timeout_s)
             return _unavailable(exceptions.Ran.UNKNOWN)
         return self.core.handle(request, 0)
 
@@ -315,6 +316,47 @@
     assert leader.notified_entries
 
 
+class HangingPeerCalls:
+    """Peer calls to an entry that has lost power."""
+
+    async def send_request(self, peer, kind, body=b'', *, timeout_ms):
+        await asyncio.sleep(timeout_ms / 1_000)
+        return _unavailable(exceptions.Ran.UNKNOWN)
+
+
+async def _submit_after_outage(direct_store, peer_calls, pause_s):
+    """Return the result of a submission soon after an outage of the store.
+
+    :param pause_s: time from the end of the outage to the submission.
+    """
+    counts = process_metrics.ProcessMetrics()
+    clock = clocks.SystemClock()
+    store_gateway = gateway.StoreGateway(
+        direct_store, peer_calls, lambda: ['peer'], clock, counts
+    )
+    probing = asyncio.create_task(store_gateway.run_probes())
+    read = store.GetKey(keys.LEADER)
+    async with asyncio.TaskGroup() as group:
+        for _ in range(store_circuit.FAILURES_TO_OPEN):
+            group.create_task(store_gateway.call_direct(read))
+    await asyncio.sleep(0.5)
+    direct_store.is_silent = False
+    await asyncio.sleep(pause_s)
+    job_intake = intake.Intake(store_gateway, FakeLeader(), clock, counts)
+    result = await job_intake.submit(JOB_ID, SPEC, TERMS, 500)
+    probing.cancel()
+    return result
+
+
+# Guards against submissions that wait for a peer which has lost power, while
+# the store answers again.
+def test_submission_after_an_outage_goes_to_the_store_and_not_to_a_peer():
+    result = asyncio.run(
+        _submit_after_outage(SilentStore(), HangingPeerCalls(), 0.45)
+    )
+    assert result.is_ok()
+
+
 def test_write_relayed_with_unknown_outcome_is_not_called_not_run():
     """Calls are relayed first; the direct call that follows is refused."""
     relay_store = FaultyStore()
