--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
@@ -51,7 +51,8 @@
     :param renewal_window_ms: leases are renewed for this long after the
         leader last confirmed its leadership.
     :param worker_timeout_ms: leases are renewed for this long after the
-        last reply of the worker.
+        last reply of the worker; longer than ``wait_ms`` and a slow reply.
+        The less, the sooner the runs of a lost worker start elsewhere.
     :param margin_ms: safety margin for clock differences.
     :param wait_ms: long-polling timeout of a hold call, within which the
         worker replies as soon as a run ends.
@@ -70,7 +71,7 @@
 
     lease_ms: int = 6_000
     renewal_window_ms: int = 3_000
-    worker_timeout_ms: int = 2_500
+    worker_timeout_ms: int = 1_500
     margin_ms: int = 300
     wait_ms: int = 800
     poll_interval_ms: int = 300
@@ -864,12 +865,14 @@
         info = self.info
         if info is None:
             return None
-        if not self._has_unreported_changes and now_ms < self._report_due_ms:
+        can_run = self._can_run(now_ms)
+        has_expired = self._could_run and not can_run
+        is_due = has_expired or now_ms >= self._report_due_ms
+        if not (is_due or self._has_unreported_changes):
             return None
         self._has_unreported_changes = False
         self._report_due_ms = now_ms + self._options.report_interval_ms
-        can_run = self._can_run(now_ms)
-        if self._could_run and not can_run:
+        if has_expired:
             _log.warning(
                 'worker lease counts as expired',
                 worker=info.worker,
--- a/packages/mulberryloom-agent/tests/test_worker_supervisor.py
+++ b/packages/mulberryloom-agent/tests/test_worker_supervisor.py
@@ -344,6 +344,26 @@
     assert agent.calls(worker_calls.StartCall) == []
 
 
+# Guards against the work of a lost worker that starts elsewhere late: its
+# lease was renewed after it had fallen silent, and its end reported late.
+def test_end_of_a_silent_workers_lease_is_reported_at_once():
+    agent = Agent()
+    agent.outlive_calls_of_earlier_process()
+    options = worker_supervisor.WorkerSupervisorOptions()
+    lost = worker_calls.HoldReply(worker_calls.CallStatus.UNKNOWN)
+    silent_ms = agent.now_ms
+    is_alive = True
+    while is_alive and agent.now_ms - silent_ms < 20_000:
+        agent.now_ms += 50
+        agent.order()
+        for hold in agent.calls():
+            agent.supervisor.on_hold_reply(hold, lost, agent.now_ms)
+        report = agent.supervisor.take_report(agent.now_ms)
+        is_alive = report is None or report.is_alive
+    limit_ms = 1_500 + options.lease_ms + options.lease_slack_ms
+    assert agent.now_ms - silent_ms <= limit_ms + 100
+
+
 def _resume_after_lease(agent):
     """Suspend the agent beyond its worker's lease.
 
