Let guaranteed gangs wait longer for one rack

Hypothesis: an urgent gang that is slow across racks is late whenever it is spread, and holds three times the work.

Change: the wait is longer by the time in which stopping runs end, once runs were preempted for the gang; a gang that has started before waits as others do, as long as it is expected to end earlier in one rack.

Both tests failed before: the gangs were spread over two racks.

--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/planner.py
@@ -86,7 +86,9 @@
         waits = WaitingSteps(
             options, self._estimator, speed_choice, preemption, self._claims
         )
-        rack_wait = RackWait(options, self._estimator, self._claims)
+        rack_wait = RackWait(
+            options, self._estimator, self._claims, self._commitments
+        )
         self._gangs: StepPlacement = GangPlacement(
             speed_choice, rack_wait, waits, self._claims
         )
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/rack_wait.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/rack_wait.py
@@ -4,6 +4,7 @@
 from . import valuation
 from .capacity import WorkerCapacity
 from .capacity_claims import CapacityClaims
+from .commitments import Commitments
 from .options import PlanOptions
 from .round_state import PendingStep
 from .round_state import RoundState
@@ -16,19 +17,22 @@
     :param options: limits and cost factors.
     :param estimator: expected durations.
     :param claims: finds the earliest start in one rack.
+    :param commitments: tells for which jobs runs were preempted.
     """
 
-    __slots__ = ('_claims', '_estimator', '_options')
+    __slots__ = ('_claims', '_commitments', '_estimator', '_options')
 
     def __init__(
         self,
         options: PlanOptions,
         estimator: valuation.Estimator,
         claims: CapacityClaims,
+        commitments: Commitments,
     ) -> None:
         self._options = options
         self._estimator = estimator
         self._claims = claims
+        self._commitments = commitments
 
     def preferred_workers(
         self,
@@ -78,8 +82,8 @@
 
         Across racks it takes longer, and so much more of the fleet: it waits
         as long as it is expected to end earlier in one rack. Guaranteed work
-        waits no longer than its guarantee allows, and no work waits for long
-        while most of the fleet is idle.
+        that has not started before waits no longer than its guarantee allows,
+        and no work waits for long while most of the fleet is idle.
         """
         step, count = pending.step, len(pending.tasks)
         if not placement.fits_one_rack(step, count, workers):
@@ -87,8 +91,12 @@
         is_wait_over = pending.waited_ms >= self._options.max_idle_wait_ms
         if is_wait_over and placement.have_ample_room(step, count, workers):
             return False
-        if pending.job.job_id in state.guaranteed_ids:
-            return pending.waited_ms < self._max_rack_wait_ms(pending, state)
+        is_guaranteed = pending.job.job_id in state.guaranteed_ids
+        if is_guaranteed and not all(task.last_run for task in pending.tasks):
+            limit_ms = self._max_rack_wait_ms(pending, state)
+            if pending.job.job_id in self._commitments.preemption_cost_by_job:
+                limit_ms += self._options.stop_grace_ms
+            return pending.waited_ms < limit_ms
         in_one_rack = self._claims.earliest(
             pending, count, workers, state, in_one_rack=True
         )
--- a/packages/mulberryloom-policy/tests/test_job_planner.py
+++ b/packages/mulberryloom-policy/tests/test_job_planner.py
@@ -608,6 +608,60 @@
     assert bool(region.run_round(200).starts) == is_started
 
 
+def _racks_with_free_halves(estimate_ms=60_000, priority=1):
+    """Return a region of two racks, in each of which one of two is free."""
+    region = regions.Region(
+        [regions.worker(index, f'r{index // 2}') for index in range(4)]
+    )
+    for worker in (region.workers[0], region.workers[2]):
+        job = region.submit(
+            regions.step(8, 1, estimate_ms=estimate_ms),
+            priority=priority,
+            account='b',
+        )
+        for task in job.task_by_key.values():
+            region.start_run(job, task, worker)
+    return region
+
+
+def _submit_one_rack_gang(region):
+    return region.submit(
+        regions.step(2, 8, is_gang=True, is_same_rack=True, estimate_ms=4_000),
+        priority=0,
+    )
+
+
+# Guards against urgent gangs that are spread over racks, where they take three
+# times as long, just before the runs that make way for them have ended.
+def test_guaranteed_gang_waits_for_the_runs_that_it_preempts_in_one_rack():
+    region = _racks_with_free_halves()
+    gang = _submit_one_rack_gang(region)
+    for after_ms in (0, 700, 600):
+        region.run_round(after_ms)
+        assert region.runs(gang) == []
+    region.end_stopping_runs()
+    region.run_round(300)
+    assert len(region.runs(gang)) == 2
+    assert len(_racks_of(region, gang)) == 1
+
+
+def _racks_of(region, job):
+    names = {run.run.worker for run in region.runs(job)}
+    return {w.rack for w in region.workers if w.worker in names}
+
+
+# Guards against guaranteed gangs that are spread over racks when they start
+# again, though they have started within their guarantee before.
+def test_guaranteed_gang_that_starts_again_waits_for_one_rack():
+    region = _racks_with_free_halves(estimate_ms=3_000, priority=0)
+    gang = _submit_one_rack_gang(region)
+    for task in gang.task_by_key.values():
+        task.last_run = 1
+    for _ in range(20):
+        region.run_round(100)
+    assert region.runs(gang) == []
+
+
 def test_urgent_gang_beyond_guarantee_waits_for_one_rack():
     region = regions.Region(
         [
