Spread no gang over racks while workers may still report

Hypothesis: since agents reach a new leader at once, its first plan may know a part of each rack only, and spread gangs that are three times as slow then.

The test plans such a gang on one worker each of two racks; it was spread before.

--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/rack_wait.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/rack_wait.py
@@ -83,8 +83,11 @@
         Across racks it takes longer, and so much more of the fleet: it waits
         as long as it is expected to end earlier in one rack. Guaranteed work
         that has not started before waits no longer than its guarantee allows,
-        and no work waits for long while most of the fleet is idle.
+        and no work waits for long while most of the fleet is idle. While
+        workers may still report to a new leader, the racks are not known.
         """
+        if not state.may_preempt:
+            return True
         step, count = pending.step, len(pending.tasks)
         if not placement.fits_one_rack(step, count, workers):
             return False
--- a/packages/mulberryloom-policy/tests/test_job_planner.py
+++ b/packages/mulberryloom-policy/tests/test_job_planner.py
@@ -662,6 +662,14 @@
     assert region.runs(gang) == []
 
 
+# Guards against gangs that are spread over the racks of the first workers that
+# have reported to a new leader.
+def test_gang_is_not_spread_over_racks_while_workers_may_still_report():
+    region = regions.Region([regions.worker(0, 'r0'), regions.worker(2, 'r1')])
+    _submit_one_rack_gang(region)
+    assert region.plan(may_preempt=False).starts == []
+
+
 def test_urgent_gang_beyond_guarantee_waits_for_one_rack():
     region = regions.Region(
         [
