--- a/packages/mulberryloom-entry/src/mulberryloom_entry/__main__.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/__main__.py
@@ -5,6 +5,7 @@
 import defopt
 
 from .jobs import explain
+from .jobs import losses
 from .process import commands
 
 _COMMANDS = {
@@ -28,7 +29,7 @@
     'evacuate': commands.evacuate,
     'evacuations': commands.list_evacuations,
     'drain': commands.drain,
-    'logs': {'explain': explain.explain},
+    'logs': {'explain': explain.explain, 'losses': losses.show_losses},
     'report': {'burn': commands.report_burn},
 }
 
