--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/startup.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/startup.py
@@ -4,11 +4,8 @@
 or may have lost it, as after a power failure.
 """
 
-import typing as t
-
-if t.TYPE_CHECKING:
-    from . import leader
-    from . import run_table
+from . import run_table
+from .leader_options import LeaderOptions
 
 
 class Startup:
@@ -23,8 +20,8 @@
 
     def __init__(
         self,
-        options: 'leader.LeaderOptions',
-        runs: 'run_table.RunTable',
+        options: LeaderOptions,
+        runs: run_table.RunTable,
         now_ms: int,
     ) -> None:
         self._options = options
