--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -32,6 +32,7 @@
 from . import evacuations
 from . import fleet
 from . import record_cache
+from . import run_ends
 from . import run_table
 from . import startup
 from .leader_options import LeaderOptions
@@ -89,14 +90,19 @@
         self._crashes = crash_attribution.CrashAttribution(
             self._records, self._runs, self._decision_log, self._metrics
         )
+        self._run_ends = run_ends.RunEnds(
+            self._records,
+            self._runs,
+            self._decision_log,
+            self._metrics,
+            self._worker_speeds,
+            self._planner.failure_attribution,
+        )
         self._startup = startup.Startup(options, self._runs, now_ms)
         self._known_job_ids: dict[str, None] = {}
         self._needs_plan = True
         self._last_sequence = 0
         self._blocked_reason_by_step: dict[tuple[str, int], str] = {}
-        # Number of the last failed run of each gang. The failures of several
-        # members count as one failed attempt.
-        self._failed_run_by_gang: dict[tuple[str, int, int], int] = {}
         self.batch_in_flight = False
 
     # Jobs and their records
@@ -120,7 +126,7 @@
             for task in job.active_tasks():
                 self._runs.add_orphan(job, task, now_ms)
         if job.is_cancelled:
-            self._end_job(job, wall_ms, 'cancelled')
+            self._run_ends.end_job(job, wall_ms, 'cancelled')
 
     def job_state(self, job_id: str) -> jobs.JobState | None:
         """Return the stored state of a job, ``None`` if it is unknown."""
@@ -299,7 +305,7 @@
             return
         if report.crashed_runs:
             for job in self._crashes.apply(node, report):
-                self._end_job_if_final(job, wall_ms)
+                self._run_ends.end_job_if_final(job, wall_ms)
         link = self._link_for(node, report, now_ms)
         if link.update(report, now_ms):
             link.capacity.recompute_free()
@@ -481,19 +487,10 @@
             if run.task.crashes:
                 self._crashes.clear_survivor(run)
             if item.checkpoint and item.checkpoint != run.task.checkpoint:
-                self._set_checkpoint(run, item.checkpoint)
+                self._run_ends.set_checkpoint(run, item.checkpoint)
                 self._records.mark_checkpointed(run.job.job_id, now_ms)
         link.sent_stops &= set(link.capacity.run_by_key) | link.unknown_runs
 
-    def _set_checkpoint(self, run: ActiveRun, checkpoint: str) -> None:
-        """Set the checkpoint of a task or of all members of its gang."""
-        if not run.step.is_gang:
-            run.task.checkpoint = checkpoint
-            return
-        key = run.task.key
-        for task in run.job.tasks_of(key.repetition, key.step):
-            task.checkpoint = checkpoint
-
     def _on_ends(
         self,
         link: fleet.WorkerLink,
@@ -508,154 +505,9 @@
             link.has_pending_orders = True
             run = link.capacity.run_by_key.get((end.task, end.run_number))
             if run is None:
-                self._on_unmatched_end(link, end, wall_ms)
+                self._run_ends.on_unmatched_end(link, end, wall_ms)
                 continue
-            self._on_end(link, run, end, now_ms, wall_ms)
-
-    def _on_end(
-        self,
-        link: fleet.WorkerLink,
-        run: ActiveRun,
-        end: messages.EndedTask,
-        now_ms: int,
-        wall_ms: int,
-    ) -> None:
-        run_end = _parse_run_end(end.how)
-        self._metrics.count('runs_ended_total', run_end.value)
-        job, task = run.job, run.task
-        self._runs.record_decision(
-            'run ended',
-            run,
-            how=run_end.value,
-            failures=task.failures,
-            progress=run.progress,
-        )
-        self._runs.remove(link, run)
-        if end.checkpoint:
-            self._set_checkpoint(run, end.checkpoint)
-        if run_end is jobs.RunEnd.DONE:
-            health.note_success(link.capacity, run)
-            self._worker_speeds.note_done(run, link.capacity, now_ms)
-            self._on_run_done(run)
-        elif run_end is jobs.RunEnd.FAILED:
-            self._planner.failure_attribution.note_failure(
-                link.capacity,
-                run,
-                now_ms,
-                has_progressed=run.progress > run.base_progress,
-            )
-            self._on_run_failed(run)
-        if run_end is not jobs.RunEnd.DONE:
-            self._runs.stop_other_members(run, 'another gang member ended')
-        event = record_cache.EndRecorded(
-            link.capacity.worker, link.capacity.boot, end.sequence
-        )
-        link.unrecorded_end_sequences.add(end.sequence)
-        self._end_job_if_final(job, wall_ms)
-        self._records.mark_dirty(job.job_id, event)
-
-    def _on_unmatched_end(
-        self,
-        link: fleet.WorkerLink,
-        end: messages.EndedTask,
-        wall_ms: int,
-    ) -> None:
-        """Process the end of a run that was discarded.
-
-        A success counts even if the task has been started again; the later
-        run is then stopped. The end is acknowledged only after a write of
-        the job, which proves that this leader was not superseded when it
-        discarded the run.
-        """
-        parsed = jobs.parse_task_name(end.task)
-        job = self._records.find(parsed[0]) if parsed else None
-        if parsed is None or job is None:
-            return
-        task = job.task_by_key.get(parsed[1])
-        if task is not None and self._is_late_success(job, task, end):
-            self._accept_late_success(job, task, end)
-            self._end_job_if_final(job, wall_ms)
-        link.unrecorded_end_sequences.add(end.sequence)
-        event = record_cache.EndRecorded(*link.key, end.sequence)
-        self._records.mark_dirty(job.job_id, event)
-
-    @staticmethod
-    def _is_late_success(
-        job: jobs.Job, task: jobs.Task, end: messages.EndedTask
-    ) -> bool:
-        return (
-            end.how == jobs.RunEnd.DONE.value
-            and not task.is_done
-            and end.run_number <= task.last_run
-            and not job.state.is_final
-            and not job.step_of(task.key).is_lasting
-        )
-
-    def _accept_late_success(
-        self, job: jobs.Job, task: jobs.Task, end: messages.EndedTask
-    ) -> None:
-        """Mark a task done, or its gang, and stop the runs that repeat it."""
-        self._decision_log.record(
-            'late success accepted',
-            job.job_id,
-            task=end.task,
-            run=end.run_number,
-            last_run=task.last_run,
-        )
-        for done_task in _tasks_done_together(job, task):
-            done_task.is_done = True
-            if done_task.run is not None:
-                repeated = self._runs.find(job, done_task)
-                if repeated is not None:
-                    self._runs.stop(repeated, 'repeats a run that was done')
-
-    def _on_run_done(self, run: ActiveRun) -> None:
-        if run.step.is_lasting:
-            return
-        for task in _tasks_done_together(run.job, run.task):
-            task.is_done = True
-
-    def _on_run_failed(self, run: ActiveRun) -> None:
-        if run.task.is_done:
-            return
-        job, key = run.job, run.task.key
-        if run.step.is_gang:
-            gang = (job.job_id, key.repetition, key.step)
-            if self._failed_run_by_gang.get(gang) == run.run.number:
-                return
-            self._failed_run_by_gang[gang] = run.run.number
-            for task in job.tasks_of(key.repetition, key.step):
-                task.failures += 1
-        else:
-            run.task.failures += 1
-        if run.step.is_lasting:
-            return
-        if run.task.failures >= job.terms.max_attempts:
-            job.fail(jobs.JobFailure.ATTEMPTS)
-
-    def _end_job_if_final(self, job: jobs.Job, wall_ms: int) -> None:
-        if job.state.is_final and not job.ended_ms:
-            self._end_job(job, wall_ms, job.state.value)
-
-    def _end_job(self, job: jobs.Job, wall_ms: int, reason: str) -> None:
-        """Record the end of a job and stop its remaining runs."""
-        if not job.ended_ms:
-            job.ended_ms = wall_ms
-            self._metrics.count('jobs_ended_total', job.state.value)
-            self._metrics.observe_ms(
-                'job_duration_ms', max(0, wall_ms - job.accepted_ms)
-            )
-            self._decision_log.record(
-                'job ended',
-                job.job_id,
-                state=job.state.value,
-                after_ms=wall_ms - job.accepted_ms,
-            )
-            self._records.mark_dirty(job.job_id)
-        if job.state is jobs.JobState.COMPLETED:
-            return
-        for run in self._runs.active_runs_of(job):
-            self._runs.stop(run, reason)
+            self._run_ends.on_end(link, run, end, now_ms, wall_ms)
 
     def _discard_unlisted_runs(
         self, link: fleet.WorkerLink, report: messages.WorkerReport
@@ -861,22 +713,3 @@
             )
             orders.append((link.node, link_orders))
         return orders
-
-
-def _tasks_done_together(job: jobs.Job, task: jobs.Task) -> list[jobs.Task]:
-    """Return the tasks that the success of one task completes.
-
-    The members of a gang end together, so that the success of one stands for
-    all of them.
-    """
-    if not job.step_of(task.key).is_gang:
-        return [task]
-    return job.tasks_of(task.key.repetition, task.key.step)
-
-
-def _parse_run_end(value: str) -> jobs.RunEnd:
-    try:
-        return jobs.RunEnd(value)
-    except ValueError:
-        _log.warning('unknown run outcome', how=value)
-        return jobs.RunEnd.STOPPED
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/__init__.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/__init__.py
@@ -10,6 +10,7 @@
 from . import valuation
 from .capacity import ActiveRun
 from .capacity import WorkerCapacity
+from .failure_attribution import FailureAttribution
 from .options import PlanOptions
 from .plan import Plan
 from .planner import JobPlanner
@@ -17,6 +18,7 @@
 
 __all__ = [
     'ActiveRun',
+    'FailureAttribution',
     'JobPlanner',
     'Plan',
     'PlanOptions',
