--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/step_placement.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/step_placement.py
@@ -33,12 +33,12 @@
         """
 
 
-class GangPlacement:
-    """Starts all tasks of a gang, or none.
+class _Placement:
+    """What the placements of gangs and of independent tasks share.
 
     :param speed_choice: order of the workers by speed.
-    :param rack_wait: how long a gang waits for one rack.
-    :param waits: how it waits if it does not fit.
+    :param rack_wait: how long a step waits for one rack.
+    :param waits: how a step waits that does not fit.
     :param claims: starts the tasks.
     """
 
@@ -56,6 +56,12 @@
         self._waits = waits
         self._claims = claims
 
+
+class GangPlacement(_Placement):
+    """Starts all tasks of a gang, or none."""
+
+    __slots__ = ()
+
     def place(
         self,
         pending: PendingStep,
@@ -122,28 +128,10 @@
         return None
 
 
-class TaskPlacement:
-    """Starts as many independent tasks of a step as fit.
+class TaskPlacement(_Placement):
+    """Starts as many independent tasks of a step as fit."""
 
-    :param speed_choice: order of the workers by speed.
-    :param rack_wait: how long a step waits for its rack.
-    :param waits: how the other tasks wait.
-    :param claims: starts the tasks.
-    """
-
-    __slots__ = ('_claims', '_rack_wait', '_speed_choice', '_waits')
-
-    def __init__(
-        self,
-        speed_choice: SpeedChoice,
-        rack_wait: RackWait,
-        waits: WaitingSteps,
-        claims: CapacityClaims,
-    ) -> None:
-        self._speed_choice = speed_choice
-        self._rack_wait = rack_wait
-        self._waits = waits
-        self._claims = claims
+    __slots__ = ()
 
     def place(
         self,
