Test the load trial's new patterns

Wide and tight urgent gangs are served at least as well as by shortest first, and replaced workers leave the trial without runs. Both are new patterns; the second guards the trial itself.

--- a/packages/mulberryloom-standins/tests/test_job_load.py
+++ b/packages/mulberryloom-standins/tests/test_job_load.py
@@ -33,6 +33,29 @@
     )
 
 
+# Guards against urgent gangs that wait behind wide urgent steps, while callers
+# cancel a tenth of the other jobs.
+def test_wide_and_tight_urgent_gangs_are_served_better_than_shortest_first():
+    name = 'wide and tight urgent gangs'
+    planned = _play(name, policy.JobPlanner(OPTIONS))
+    simple = _play(name, baselines.ShortestFirst())
+    urgent = planned.credit_by_class['confirm']
+    assert urgent.share >= simple.credit_by_class['confirm'].share
+
+
+# Guards against a trial of replaced workers in which none is replaced, or runs
+# go on on workers that have left.
+def test_replaced_workers_leave_the_trial_without_runs():
+    name = 'wide and tight urgent gangs while workers are replaced'
+    trial = _play(name, policy.JobPlanner(OPTIONS), seed=1)
+    names = [worker.worker for worker in trial._workers]
+    new = [worker for worker in names if worker.startswith('n')]
+    assert len(names) == 74
+    assert len(new) == int(0.4 * 74)
+    for worker in trial._workers:
+        assert not worker.is_draining
+
+
 def test_trial_starts_nothing_beyond_the_capacity_of_a_worker():
     name = 'small fleet, urgent gangs at capacity'
     trial = load.Trial(PATTERN_BY_NAME[name], policy.JobPlanner(OPTIONS), 1)
