--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/capacity.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/capacity.py
@@ -193,8 +193,9 @@
     :param has_starts: whether this planning round starts tasks there.
     :param failures: failed runs since the last success of a run that
         started after them.
-    :param blamed_tasks: tasks of these failures, one for each, without those
-        that have failed on other workers too.
+    :param blamed_tasks: tasks of the failures that set the backoff, one for
+        each: not of a first failure after progress, nor of tasks that have
+        failed on other workers too.
     :param committed_cpu: CPU capacity committed in this planning round, to
         tasks that start and to reservations, in thousandths of a core;
         ``committed_memory`` (MB) and ``committed_accelerators`` likewise.
--- a/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/options.py
+++ b/packages/mulberryloom-policy/src/mulberryloom_policy/jobs/options.py
@@ -20,7 +20,7 @@
         when the size of work is computed, following the deployment's prices.
     :param failure_backoff_ms: time without new tasks for a worker after a
         failure with no later success; about the duration of one short
-        task. It doubles with each further failure.
+        task. It doubles with each further failure, see ``health``.
     :param max_failure_backoff_ms: upper limit of this backoff.
     :param min_reliable_progress: percentage from which on the reported
         progress predicts the end of a run better than the declared
