--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -166,8 +166,10 @@
                 and event['key'].startswith(prefix)
             ]
             left = end - time.monotonic()
-            if events or left <= 0:
-                return 200, {'events': events, 'at': self._revision}
+            if events:
+                return 200, self._first_events(events)
+            if left <= 0:
+                return 200, {'events': [], 'at': self._revision}
             changed = self._changed
             try:
                 async with asyncio.timeout(left):
@@ -175,6 +177,16 @@
             except TimeoutError:
                 pass
 
+    def _first_events(self, events):
+        """Return events up to the size of a page; the rest comes later."""
+        page, size = [], 0
+        for event in events:
+            if page and size >= PAGE_BYTES:
+                return {'events': page, 'at': page[-1]['revision']}
+            page.append(event)
+            size += len(event.get('value', ''))
+        return {'events': page, 'at': self._revision}
+
     def _transact(self, document):
         expected = document.get('expected_revision', [])
         puts = document.get('puts', [])
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -14,6 +14,7 @@
 TICK_S = 0.02
 HEARTBEAT_S = 1.5
 STARTUP_MS = 300
+GANG_TIMEOUT_S = 3.0
 
 
 class Run:
@@ -91,7 +92,10 @@
                 'run lost with its worker', self.name, run.task, run.run_id
             )
             self.ends.append((time.monotonic(), run.task, run.run_id, 'lost'))
-        self.runs = {}
+        lost, self.runs = self.runs, {}
+        for run in lost.values():
+            for worker, other in self._gang_of(run) if run.members else []:
+                worker._end_alone(other, 'broken')
         await self._server.close()
         self.log('worker down', self.name)
 
@@ -135,30 +139,43 @@
             if self.runs and self.clock_ms() > self._deadline_ms:
                 self.log('lease lapsed', self.name)
                 for run in list(self.runs.values()):
-                    self._end(run, 'lapsed')
+                    if self.runs.get(run.task) is run:
+                        self._end(run, 'lapsed')
             for run in list(self.runs.values()):
+                if self.runs.get(run.task) is not run:
+                    continue
                 if run.stop_at is not None:
                     if now >= run.stop_at:
                         self._end(run, 'stopped')
                     continue
-                if run.members and not self._is_gang_present(run):
+                if run.members and len(self._gang_of(run)) < run.members:
+                    if now - run.started > GANG_TIMEOUT_S and not run.done_ms:
+                        self._end(run, 'alone')
                     continue
                 run.done_ms += passed_ms
                 if run.work_ms and run.done_ms >= run.work_ms:
                     self._end(run, 'done')
 
-    def _is_gang_present(self, run):
+    def _gang_of(self, run):
+        """Return the worker and run of each member that is present."""
         step = run.task.rpartition('.')[0]
-        present = [
-            other
+        return [
+            (worker, other)
             for worker in self.fleet.values()
             for other in worker.runs.values()
             if other.task.rpartition('.')[0] == step
             and other.run_id == run.run_id
         ]
-        return len(present) >= run.members
 
     def _end(self, run, how):
+        """End a run, and with it those of the other members of its gang."""
+        others = self._gang_of(run) if run.members else []
+        self._end_alone(run, how)
+        for worker, other in others:
+            if other is not run and how != 'alone':
+                worker._end_alone(other, 'done' if how == 'done' else 'broken')
+
+    def _end_alone(self, run, how):
         del self.runs[run.task]
         self._over[run.task] = max(run.run_id, self._over.get(run.task, 0))
         self._count += 1
