--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -43,6 +43,7 @@
     :param fleet: all workers by name; gangs span them.
     :ivar starts: all runs that ever began, as (time, task, run).
     :ivar ends: all ends, as (time, task, run, how).
+    :ivar refuses_starts: whether it answers starts with 503, unhealthy.
     :ivar noted: when each end was taken note of, by task and run.
     """
 
@@ -56,8 +57,7 @@
         self.ends = []
         self.noted = {}
         self.runs = {}
-        self.answers_orders = True
-        self.late_s = 0.0
+        self.refuses_starts = False
         self.is_up = False
         self._tasks = []
         self._server = http.Server(self._respond)
@@ -211,6 +211,9 @@
                 run.stop_at = time.monotonic() + 0.1
                 self.log('run stopping', self.name, task, run.run_id)
             return self._reply(200)
+        if self.refuses_starts:
+            self.log('start refused with 503', self.name, task, run_id)
+            return self._reply(503)
         self._deadline_ms = max(
             self._deadline_ms,
             min(document['deadline_ms'], self.clock_ms() + 6_000),
