Mend the scripts of the review after a second reading

An exception in a script ended it with 1 like a broken rule; it ends with 2 now, also after SIGTERM, and ends its processes. The worker's stand-in notes a lapse of its lease also while nothing runs, and case 1 excuses ends with a lapse before they were taken note of.

--- a/review/1/trial.py
+++ b/review/1/trial.py
@@ -11,9 +11,9 @@
 from standins import fleet as fleets  # noqa: E402
 
 #: The jobs come one after the other, and their tasks end at the same time.
-JOBS = [f'aaaaaaaaaaaaaaa{number}' for number in range(5)]
-TASKS = 130
-SPACING_S = 2.5
+JOBS = [f'aaaaaaaaaaaaaa{number:02x}' for number in range(12)]
+TASKS = 55
+SPACING_S = 1.0
 WORK_MS = 16_000
 OUTAGE_S = 4.5
 
@@ -21,14 +21,16 @@
 def repeated_runs(fleet):
     """Return the starts of tasks that had ended ``done`` before.
 
-    Only ends count that were taken note of, on workers that never lapsed.
+    Only ends count that were taken note of, with no lapse of the worker's
+    lease between the two.
     """
     done = {}
     for worker in fleet.workers.values():
-        lapsed = any(how == 'lapsed' for *_, how in worker.ends)
         for at, task, run_id, how in worker.ends:
             noted = worker.noted.get((task, run_id))
-            if how == 'done' and noted and not lapsed:
+            if how != 'done' or noted is None:
+                continue
+            if not any(at <= lapse <= noted for lapse in worker.lapses):
                 done.setdefault(task, (at, run_id, worker.name, noted))
     found = []
     for worker in fleet.workers.values():
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -301,6 +301,9 @@
     has_trouble = os.environ.get('TROUBLE', '1') != '0'
 
     async def trial():
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         fleet = Fleet(pathlib.Path(folder, 'record.txt'))
         try:
             async with asyncio.timeout(112):
@@ -308,7 +311,8 @@
                 held = await main(fleet, has_trouble)
             fleet.log('rule held' if held else 'RULE BROKEN')
             return 0 if held else 1
-        except (TimeoutError, RuntimeError) as error:
+        except (Exception, asyncio.CancelledError) as error:
+            # An uncaught exception would exit with 1, like a broken rule.
             fleet.log('trial could not run:', repr(error))
             return 2
         finally:
@@ -319,4 +323,9 @@
                     )
             await fleet.close()
 
-    raise SystemExit(asyncio.run(trial()))
+    try:
+        code = asyncio.run(trial())
+    except Exception as error:
+        print('trial could not run:', repr(error))
+        code = 2
+    raise SystemExit(code)
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -44,6 +44,7 @@
     :ivar starts: all runs that ever began, as (time, task, run).
     :ivar ends: all ends, as (time, task, run, how).
     :ivar refuses_starts: whether it answers starts with 503, unhealthy.
+    :ivar lapses: when its lease lapsed, also while nothing ran.
     :ivar noted: when each end was taken note of, by task and run.
     """
 
@@ -56,6 +57,7 @@
         self.starts = []
         self.ends = []
         self.noted = {}
+        self.lapses = []
         self.runs = {}
         self.refuses_starts = False
         self.is_up = False
@@ -69,6 +71,7 @@
         self._sequence = 0
         self._fence = 0
         self._deadline_ms = 0
+        self._has_lapsed = True
         self.runs = {}
         self._over = {}
         self._finished = []
@@ -136,7 +139,11 @@
             await asyncio.sleep(TICK_S)
             now = time.monotonic()
             passed_ms, last = (now - last) * 1_000, now
-            if self.runs and self.clock_ms() > self._deadline_ms:
+            if self.clock_ms() <= self._deadline_ms:
+                self._has_lapsed = False
+            elif not self._has_lapsed:
+                self._has_lapsed = True
+                self.lapses.append(now)
                 self.log('lease lapsed', self.name)
                 for run in list(self.runs.values()):
                     if self.runs.get(run.task) is run:
@@ -249,9 +256,11 @@
                 min(document['deadline_ms'], self.clock_ms() + 6_000),
             )
         observed = document.get('observed', 0)
-        for number, task, run_id, how, _ in self._finished:
+        for number, task, run_id, _, _ in self._finished:
             if number <= observed:
                 self.noted[task, run_id] = time.monotonic()
+        if self._finished and self._finished[0][0] <= observed:
+            self.log('ends taken note of up to', observed, 'at', self.name)
         self._finished = [row for row in self._finished if row[0] > observed]
         if document.get('wait_ms') and not self._finished:
             try:
