Replace a worker only once its successor has answered

A worker runs four tasks; its agent gets one heartbeat of another writer, with another id and a service that no configuration names. The tasks start elsewhere within 20 ms while they go on, two runs of each for some 6 s.

Cause: the agent took what a heartbeat says of its sender for true. It dropped the worker with its lists, lease and orders, and reported a crash and a successor; the leader discards the runs of a replaced worker at once.

Fix: a heartbeat of another incarnation names a candidate, which the agent asks for its lists. Only an answer under the name and with the start of the heartbeat replaces the earlier worker, which cannot be there any more then. The ordering of incarnations by their start times and the set of earlier ones go: what answers decides. The same cause on related paths: the first heartbeat after a restart of the agent, a heartbeat that changes what stays the same within an incarnation (service, rack, place, labels), and at the leader a worker of the same name on another VM.

Tests: eight new ones of the supervisor, of which six fail with the earlier supervisor, and one of the leader, which fails with the earlier one. Tests that replace a worker by a heartbeat deliver the successor's answer as well now; what they check is unchanged. Two pass on either code: the bound, and the answer that was asked for earlier, which guard the new module.

--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
@@ -16,6 +16,7 @@
 from . import crash_history
 from . import progress_monitor
 from . import worker_calls
+from . import worker_candidates
 
 #: A call to the worker.
 Call: t.TypeAlias = (
@@ -23,8 +24,6 @@
 )
 #: Task name and run number.
 RunKey: t.TypeAlias = tuple[str, int]
-#: Worker name and start time of an incarnation.
-IncarnationKey: t.TypeAlias = tuple[str, int]
 #: Outcomes of a start call that hold for every call that starts the run:
 #: calls that the worker carries out later have the same outcome.
 _FINAL_START_STATUSES = frozenset(
@@ -67,6 +66,9 @@
         which the agent counts as having been suspended.
     :param resumption_ms: time after a suspension in which the worker may
         reply before its lease counts as expired.
+    :param candidate_ttl_ms: time for which a worker that has sent a
+        heartbeat is asked whether it runs on this VM; longer than the
+        interval between heartbeats.
     """
 
     lease_ms: int = 6_000
@@ -80,6 +82,7 @@
     report_interval_ms: int = 900
     suspension_ms: int = 1_000
     resumption_ms: int = 400
+    candidate_ttl_ms: int = 3_000
 
     @property
     def lease_slack_ms(self) -> int:
@@ -139,7 +142,8 @@
     All times are milliseconds on the agent's monotonic clock unless
     stated otherwise.
 
-    :ivar info: last heartbeat of the worker; ``None`` before the first.
+    :ivar info: last heartbeat of the worker that runs on this VM by its own
+        answer; ``None`` before the first answer.
     :ivar generation: generation of the leader that is followed; ``0``
         before the first.
     """
@@ -159,9 +163,9 @@
         self._acknowledged_sequence = 0
         #: Start of the incarnation that replied to the last hold call.
         self._last_reply_boot = 0
-        #: Whether another worker answered the last hold call.
-        self._is_replaced = False
-        self._earlier_incarnations: set[IncarnationKey] = set()
+        self._candidates = worker_candidates.WorkerCandidates(
+            options.retry_delay_ms, options.candidate_ttl_ms
+        )
         self._running: tuple[messages.RunningTask, ...] = ()
         self._ended: tuple[messages.EndedTask, ...] = ()
         self._progress = progress_monitor.ProgressMonitor()
@@ -209,25 +213,38 @@
     # Inputs
 
     def on_heartbeat(self, info: worker_calls.WorkerInfo, now_ms: int) -> None:
-        """Apply a heartbeat of the worker."""
+        """Apply a heartbeat.
+
+        One of another incarnation than the present one takes effect only
+        once that worker has answered a call.
+        """
         previous = self.info
-        if previous is not None and not self._is_newer(info, previous):
-            return
         if previous is None or _incarnation(info) != _incarnation(previous):
-            self._on_new_incarnation(info, now_ms)
-        else:
-            if _has_shrunk(info, previous):
-                self._on_shrunk(info, now_ms)
-            if info.is_draining and not previous.is_draining:
-                self._on_draining(info, now_ms)
+            self._candidates.add(info, now_ms)
+            return
+        if info.sequence <= previous.sequence:
+            return
+        if _fixed_fields(info) != _fixed_fields(previous):
+            _log.warning(
+                'heartbeat of another writer ignored',
+                worker=info.worker,
+                boot=info.boot,
+                expected=_fixed_fields(previous),
+                received=_fixed_fields(info),
+            )
+            return
+        if _has_shrunk(info, previous):
+            self._on_shrunk(info, now_ms)
+        if info.is_draining and not previous.is_draining:
+            self._on_draining(info, now_ms)
         if not info.is_draining:
             # A worker drains before it leaves, so the notice of leave was
             # that of an earlier incarnation.
             self._is_leaving = False
             self._has_left = False
-        if previous is None or _without_volatile_fields(
-            info
-        ) != _without_volatile_fields(previous):
+        if _without_volatile_fields(info) != _without_volatile_fields(
+            previous
+        ):
             self._has_unreported_changes = True
         self.info = info
         self._heartbeat_ms = now_ms
@@ -253,38 +270,27 @@
         for key in list(self._pending_start_by_key):
             self._abandon_start(key, now_ms)
 
-    def _is_newer(
-        self, info: worker_calls.WorkerInfo, previous: worker_calls.WorkerInfo
-    ) -> bool:
-        """Whether a heartbeat was sent after the previous one.
-
-        Heartbeats can arrive out of order. A worker dates its start by the
-        time of day, which may have stepped back since the start of an
-        earlier incarnation; what answers the calls decides then.
-        """
-        if _incarnation(info) == _incarnation(previous):
-            return info.sequence > previous.sequence
-        is_same_worker = info.worker == previous.worker
-        if is_same_worker and info.boot == self._last_reply_boot:
-            return True
-        if _incarnation(info) in self._earlier_incarnations:
-            return False
-        is_replacement = self._is_replaced and not is_same_worker
-        return info.boot >= previous.boot or is_replacement
-
     def _on_new_incarnation(
-        self, info: worker_calls.WorkerInfo, now_ms: int
+        self, info: worker_calls.WorkerInfo, received_ms: int, now_ms: int
     ) -> None:
-        """Discard everything known about an earlier incarnation."""
+        """Replace the present incarnation by one that has answered a call.
+
+        Everything that is known about the earlier one is discarded.
+
+        :param received_ms: when the heartbeat was received.
+        """
         if self.info is not None:
-            self._earlier_incarnations.add(_incarnation(self.info))
             self._crashes.end_incarnation(
                 *_incarnation(self.info),
                 now_ms,
                 is_planned=self.info.is_draining or self._is_leaving,
             )
         is_restarted = self.info and self.info.worker == info.worker
-        self._is_replaced = False
+        # Replies to calls of before may come from an earlier incarnation.
+        self._candidates.restart_calls()
+        self.info = info
+        self._heartbeat_ms = received_ms
+        self._has_unreported_changes = True
         self._last_reply_boot = 0
         _log.info(
             'new worker incarnation',
@@ -362,6 +368,7 @@
         self.generation = generation
         self._orders_sequence = 0
         self._has_current_lists = False
+        self._candidates.restart_calls()
         self._pending_start_by_key.clear()
         self._pending_stop_by_key.clear()
         self._hold_sent_ms_by_id.clear()
@@ -512,16 +519,20 @@
         can arrive out of order.
         """
         self._detect_suspension(now_ms)
+        candidate = self._candidates.on_reply(call, reply, now_ms)
+        if candidate is not None:
+            self._on_new_incarnation(
+                candidate.info, candidate.received_ms, now_ms
+            )
+            self._hold_sent_ms_by_id[call.call_id] = candidate.sent_ms
+            self._applied_hold_id = call.call_id
         sent_ms = self._hold_sent_ms_by_id.pop(call.call_id, None)
-        if sent_ms is None:
-            return
-        if self.info is None:
+        if sent_ms is None or self.info is None:
             return
         if reply.status is not worker_calls.CallStatus.DONE:
             self._on_hold_failed(call, reply, now_ms)
             return
         self._last_reply_ms = now_ms
-        self._is_replaced = False
         if reply.clock_ms:
             self._clock_offset_ms = reply.clock_ms - now_ms
         self._last_reply_boot = reply.boot or self.info.boot
@@ -576,9 +587,6 @@
                 self._has_left = True
                 self._has_unreported_changes = True
             return
-        self._is_replaced = (
-            reply.status is worker_calls.CallStatus.OTHER_INCARNATION
-        )
         if reply.status is not worker_calls.CallStatus.UNKNOWN:
             _log.warning(
                 'lease renewal rejected',
@@ -677,11 +685,15 @@
     def due_calls(self, now_ms: int) -> list[Call]:
         """Return the calls to the worker that are due."""
         self._detect_suspension(now_ms)
-        if self.info is None or not self.generation or self._has_left:
+        if not self.generation:
             return []
+        calls: list[Call] = []
+        for info in self._candidates.list_due(now_ms):
+            calls.append(self._make_verification_call(info, now_ms))
+        if self.info is None or self._has_left:
+            return calls
         self._abandon_expired_starts(now_ms)
         self._drop_expired_stops(now_ms)
-        calls: list[Call] = []
         if self._is_hold_due(now_ms):
             calls.append(self._make_hold_call(now_ms))
         worker = self.info.worker
@@ -794,6 +806,16 @@
             0 if is_immediate else self._options.wait_ms,
         )
 
+    def _make_verification_call(
+        self, info: worker_calls.WorkerInfo, now_ms: int
+    ) -> worker_calls.HoldCall:
+        """Ask a candidate for its lists, without a lease for its runs."""
+        self._last_hold_id += 1
+        self._candidates.mark_called(info, self._last_hold_id, now_ms)
+        return worker_calls.HoldCall(
+            self._last_hold_id, info.worker, self.generation, 0, 0, 0
+        )
+
     def _acknowledgement_to_send(self) -> int:
         """Return the number up to which the worker may forget ended runs.
 
@@ -929,10 +951,23 @@
         )
 
 
-def _incarnation(info: worker_calls.WorkerInfo) -> IncarnationKey:
+def _incarnation(
+    info: worker_calls.WorkerInfo,
+) -> worker_candidates.IncarnationKey:
     return info.worker, info.boot
 
 
+def _fixed_fields(info: worker_calls.WorkerInfo) -> tuple[t.Any, ...]:
+    """Return the fields that stay the same while an incarnation lasts."""
+    return (
+        info.service,
+        info.address,
+        info.data_centre,
+        info.rack,
+        info.labels,
+    )
+
+
 def _has_shrunk(
     info: worker_calls.WorkerInfo, previous: worker_calls.WorkerInfo
 ) -> bool:
--- a/packages/mulberryloom-agent/tests/test_worker_supervisor.py
+++ b/packages/mulberryloom-agent/tests/test_worker_supervisor.py
@@ -2,6 +2,7 @@
 
 from mulberryloom_agent.jobs import crash_history
 from mulberryloom_agent.jobs import worker_calls
+from mulberryloom_agent.jobs import worker_candidates
 from mulberryloom_agent.jobs import worker_supervisor
 from mulberryloom_core import messages
 
@@ -13,10 +14,10 @@
 def _info(boot=1, sequence=1, **fields):
     values = {'is_draining': False, 'remaining_ms': 0, **fields}
     return worker_calls.WorkerInfo(
-        'w',
+        values.get('worker', 'w'),
         boot,
         sequence,
-        's',
+        values.get('service', 's'),
         '127.0.0.1:1',
         'dc',
         'r',
@@ -70,6 +71,21 @@
             hold, _hold_reply(self.now_ms, running), self.now_ms
         )
 
+    def replace_worker(self, info, answering_boot=None, running=()):
+        """Deliver a heartbeat of another incarnation, and ask who answers.
+
+        :param answering_boot: start of the incarnation that answers; by
+            default the one that the heartbeat names.
+        """
+        self.supervisor.on_heartbeat(info, self.now_ms)
+        verification = self.calls()[0]
+        boot = info.boot if answering_boot is None else answering_boot
+        self.supervisor.on_hold_reply(
+            verification,
+            _hold_reply(self.now_ms, running, boot=boot),
+            self.now_ms,
+        )
+
     def order(self, *, starts=(), stops=(), echo_ms=None, observed=0):
         """Deliver the next orders of the leader.
 
@@ -278,37 +294,174 @@
 
 def test_heartbeat_of_an_earlier_incarnation_is_ignored():
     agent = Agent()
-    agent.supervisor.on_heartbeat(_info(boot=2, sequence=1), agent.now_ms)
-    agent.supervisor.on_heartbeat(_info(boot=1, sequence=99), agent.now_ms)
+    agent.replace_worker(_info(boot=2))
+    agent.replace_worker(_info(boot=1, sequence=99), answering_boot=2)
     assert agent.supervisor.info.boot == 2
 
 
 def test_answering_incarnation_is_current_though_its_start_is_dated_back():
     agent = Agent()
-    agent.supervisor.on_heartbeat(_info(boot=9), agent.now_ms)
-    (hold,) = agent.calls()
-    earlier = _info(boot=5, sequence=1)
-    agent.supervisor.on_heartbeat(earlier, agent.now_ms)
+    agent.replace_worker(_info(boot=9))
+    agent.supervisor.on_heartbeat(_info(boot=5), agent.now_ms)
     assert agent.supervisor.info.boot == 9
-    agent.supervisor.on_hold_reply(
-        hold, _hold_reply(agent.now_ms, boot=5), agent.now_ms
-    )
-    agent.supervisor.on_heartbeat(earlier, agent.now_ms)
+    agent.replace_worker(_info(boot=5, sequence=2))
     assert agent.supervisor.info.boot == 5
-    agent.supervisor.on_heartbeat(_info(boot=9, sequence=99), agent.now_ms)
+    agent.replace_worker(_info(boot=9, sequence=99), answering_boot=5)
     assert agent.supervisor.info.boot == 5
 
 
 def test_delayed_heartbeat_of_a_dead_incarnation_does_not_displace_the_live():
     agent = Agent()
-    agent.supervisor.on_heartbeat(_info(boot=5), agent.now_ms)
-    agent.supervisor.on_heartbeat(_info(boot=9), agent.now_ms)
+    agent.replace_worker(_info(boot=5))
+    agent.replace_worker(_info(boot=9), answering_boot=5)
+    assert agent.supervisor.info.boot == 5
+    agent.supervisor.on_heartbeat(_info(boot=5, sequence=2), agent.now_ms)
+    assert agent.supervisor.info.sequence == 2
+
+
+def _reply_of_another_worker():
+    return worker_calls.HoldReply(worker_calls.CallStatus.OTHER_INCARNATION)
+
+
+# Guards against two runs of one task: a heartbeat of another writer made the
+# agent drop its worker, whose runs went on.
+def test_worker_that_does_not_answer_replaces_none():
+    agent = Agent()
+    agent.outlive_calls_of_earlier_process()
+    agent.hold(running=[1])
+    foreign = _info(worker='x', boot=9, service='no-such-service')
+    agent.supervisor.on_heartbeat(foreign, agent.now_ms)
+    verification, hold = agent.calls()
+    assert verification.worker == 'x'
+    assert (verification.deadline_ms, verification.observed) == (0, 0)
+    agent.supervisor.on_hold_reply(
+        verification, _reply_of_another_worker(), agent.now_ms
+    )
+    agent.now_ms += 900
+    agent.order()
+    agent.supervisor.on_hold_reply(
+        hold, _hold_reply(agent.now_ms, [1]), agent.now_ms
+    )
+    report = agent.supervisor.take_report(agent.now_ms)
+    assert (report.worker, report.boot) == ('w', 1)
+    assert [item.run_number for item in report.running] == [1]
+    assert report.is_alive
+    agent.now_ms += 300
     (hold,) = agent.calls()
+    assert (hold.worker, hold.deadline_ms > agent.now_ms) == ('w', True)
+
+
+def test_successor_under_another_name_takes_over_once_it_answers():
+    agent = Agent()
+    agent.hold(running=[1])
+    successor = _info(worker='x', boot=9)
+    agent.supervisor.on_heartbeat(successor, agent.now_ms)
+    assert agent.supervisor.info.worker == 'w'
+    verification = agent.calls()[0]
+    lost = worker_calls.HoldReply(worker_calls.CallStatus.UNKNOWN)
+    agent.supervisor.on_hold_reply(verification, lost, agent.now_ms)
+    agent.now_ms += 150
+    verification = agent.calls()[0]
     agent.supervisor.on_hold_reply(
-        hold, _hold_reply(agent.now_ms, boot=5), agent.now_ms
+        verification, _hold_reply(agent.now_ms, boot=9), agent.now_ms
     )
-    agent.supervisor.on_heartbeat(_info(boot=5, sequence=2), agent.now_ms)
-    assert agent.supervisor.info.boot == 5
+    report = agent.supervisor.take_report(agent.now_ms)
+    assert (report.worker, report.boot) == ('x', 9)
+    assert report.is_listed
+    assert not report.running
+
+
+# Guards against runs that a leader gives up since a restarted agent reports
+# the first heartbeat that it gets.
+def test_restarted_agent_reports_no_worker_before_it_has_answered():
+    options = worker_supervisor.WorkerSupervisorOptions()
+    supervisor = worker_supervisor.WorkerSupervisor(options, 1_000)
+    supervisor.follow(GENERATION, 1_000)
+    supervisor.on_heartbeat(_info(worker='x', boot=9), 1_000)
+    supervisor.on_heartbeat(_info(), 1_000)
+    foreign, own = supervisor.due_calls(1_000)
+    assert supervisor.take_report(1_000) is None
+    supervisor.on_hold_reply(foreign, _reply_of_another_worker(), 1_000)
+    assert supervisor.take_report(1_000) is None
+    supervisor.on_hold_reply(own, _hold_reply(1_000, [1]), 1_000)
+    report = supervisor.take_report(1_000)
+    assert (report.worker, len(report.running)) == ('w', 1)
+
+
+# Guards against calls for ever to a worker that is not there.
+def test_worker_that_never_answers_is_no_longer_asked():
+    agent = Agent()
+    agent.supervisor.on_heartbeat(_info(worker='x', boot=9), agent.now_ms)
+    options = worker_supervisor.WorkerSupervisorOptions()
+    asked = 0
+    for _ in range(60):
+        agent.now_ms += options.retry_delay_ms
+        for call in agent.calls():
+            asked += call.worker == 'x'
+            lost = worker_calls.HoldReply(worker_calls.CallStatus.UNKNOWN)
+            agent.supervisor.on_hold_reply(call, lost, agent.now_ms)
+    assert 0 < asked <= options.candidate_ttl_ms / options.retry_delay_ms
+
+
+# Guards against memory that grows with the heartbeats of other writers.
+def test_unconfirmed_workers_are_bounded():
+    agent = Agent()
+    for boot in range(100):
+        agent.supervisor.on_heartbeat(
+            _info(worker=f'x{boot}', boot=boot), agent.now_ms
+        )
+    asked = [call.worker for call in agent.calls()]
+    assert len(asked) <= worker_candidates.MAX_CANDIDATES + 1
+    assert 'x99' in asked
+
+
+# Guards against runs that are stopped since a heartbeat of another writer
+# gives their worker another service, rack or place.
+def test_heartbeat_that_changes_what_a_life_cannot_change_is_ignored():
+    agent = Agent()
+    agent.supervisor.on_heartbeat(
+        _info(sequence=1_000, service='no-such-service'), agent.now_ms
+    )
+    assert agent.supervisor.info.service == 's'
+    agent.supervisor.on_heartbeat(
+        _info(sequence=2, accelerators=4), agent.now_ms
+    )
+    assert agent.supervisor.info.accelerators == 4
+
+
+# Guards against lists of before a new leader, which count as read under it.
+def test_candidate_is_verified_anew_under_a_new_leader():
+    agent = Agent()
+    agent.supervisor.on_heartbeat(_info(boot=2), agent.now_ms)
+    early = agent.calls()[0]
+    agent.supervisor.follow(GENERATION + 1, agent.now_ms)
+    agent.supervisor.on_hold_reply(
+        early, _hold_reply(agent.now_ms, boot=2), agent.now_ms
+    )
+    assert agent.supervisor.info.boot == 1
+    again = agent.calls()[0]
+    assert again.generation == GENERATION + 1
+    agent.supervisor.on_hold_reply(
+        again, _hold_reply(agent.now_ms, boot=2), agent.now_ms
+    )
+    assert agent.supervisor.info.boot == 2
+
+
+# Guards against a dead worker that displaces its successor by an answer that
+# it gave before it ended.
+def test_answer_that_was_asked_for_before_the_successor_came_is_ignored():
+    agent = Agent()
+    agent.supervisor.on_heartbeat(_info(boot=2), agent.now_ms)
+    early = agent.calls()[0]
+    agent.supervisor.on_heartbeat(_info(boot=3), agent.now_ms)
+    verification = agent.calls()[0]
+    agent.supervisor.on_hold_reply(
+        verification, _hold_reply(agent.now_ms, boot=3), agent.now_ms
+    )
+    agent.supervisor.on_hold_reply(
+        early, _hold_reply(agent.now_ms, boot=2), agent.now_ms
+    )
+    assert agent.supervisor.info.boot == 3
 
 
 def test_lease_is_renewed_only_while_leadership_is_confirmed():
@@ -570,13 +723,14 @@
 
 def test_restarted_agent_stops_no_run_that_its_worker_has_begun():
     agent = Agent()
-    agent.supervisor.on_heartbeat(_info(boot=2), agent.now_ms)
+    agent.replace_worker(_info(boot=2))
+    agent.supervisor.follow(GENERATION + 1, agent.now_ms)
     agent.supervisor.on_heartbeat(
         _info(boot=2, sequence=2, is_draining=True), agent.now_ms
     )
     agent.supervisor.on_orders(
         messages.WorkerOrders(
-            GENERATION, 1, 'w', 2, agent.now_ms, 0, [START], []
+            GENERATION + 1, 1, 'w', 2, agent.now_ms, 0, [START], []
         ),
         agent.now_ms,
     )
@@ -600,7 +754,7 @@
     done = worker_calls.CallReply(DONE)
     agent.supervisor.on_start_reply(start, done, agent.now_ms)
     agent.now_ms += 900
-    agent.supervisor.on_heartbeat(_info(boot=2), agent.now_ms)
+    agent.replace_worker(_info(boot=2))
     (stop,) = agent.calls(worker_calls.StopCall)
     assert stop.run == messages.RunRef(START.task, 1)
 
@@ -618,7 +772,7 @@
     done = worker_calls.CallReply(DONE)
     agent.supervisor.on_stop_reply(stop, done, agent.now_ms)
     agent.now_ms += 900
-    agent.supervisor.on_heartbeat(_info(boot=2), agent.now_ms)
+    agent.replace_worker(_info(boot=2))
     (stop,) = agent.calls(worker_calls.StopCall)
     assert stop.run == messages.RunRef(START.task, 1)
 
@@ -627,11 +781,7 @@
 # its incarnation, and the worker may have started again under its name.
 def test_late_notice_of_leave_ends_no_run_of_a_worker_that_replies():
     agent = Agent()
-    agent.supervisor.on_heartbeat(_info(boot=2), agent.now_ms)
-    (hold,) = agent.calls()
-    agent.supervisor.on_hold_reply(
-        hold, _hold_reply(agent.now_ms, [1], boot=2), agent.now_ms
-    )
+    agent.replace_worker(_info(boot=2), running=[1])
     agent.supervisor.on_leave('w', agent.now_ms)
     report = agent.supervisor.take_report(agent.now_ms)
     assert report.is_alive
@@ -690,7 +840,7 @@
     """Each heartbeat of a cold worker would send a report to the leader."""
     agent = Agent()
     supervisor = agent.supervisor
-    supervisor.on_heartbeat(_info(boot=2, warmup_left_ms=5_000), agent.now_ms)
+    agent.replace_worker(_info(boot=2, warmup_left_ms=5_000))
     first = supervisor.take_report(agent.now_ms)
     assert first.warmup_left_ms == 5_000
     supervisor.on_heartbeat(
@@ -702,9 +852,7 @@
 def test_reported_time_of_warm_up_falls_without_heartbeats():
     """The leader would take a silent worker for cold for ever."""
     agent = Agent()
-    agent.supervisor.on_heartbeat(
-        _info(boot=2, warmup_left_ms=1_500), agent.now_ms
-    )
+    agent.replace_worker(_info(boot=2, warmup_left_ms=1_500))
     left_ms = [
         agent.supervisor.take_report(agent.now_ms + after).warmup_left_ms
         for after in (0, 1_000, 2_000)
@@ -733,7 +881,7 @@
             _info(sequence=2, is_draining=True), agent.now_ms
         )
     agent.now_ms += 3_300
-    agent.supervisor.on_heartbeat(_info(boot=2), agent.now_ms)
+    agent.replace_worker(_info(boot=2))
     return agent.supervisor.take_report(agent.now_ms).crashed_runs
 
 
@@ -756,7 +904,7 @@
     (start,) = agent.calls(worker_calls.StartCall)
     refused = worker_calls.CallReply(worker_calls.CallStatus.NO_ROOM)
     agent.supervisor.on_start_reply(start, refused, agent.now_ms)
-    agent.supervisor.on_heartbeat(_info(boot=2), agent.now_ms)
+    agent.replace_worker(_info(boot=2))
     assert not agent.supervisor.take_report(agent.now_ms).crashed_runs
 
 
@@ -765,7 +913,7 @@
     agent = Agent()
     agent.order(starts=[START])
     agent.calls(worker_calls.StartCall)
-    agent.supervisor.on_heartbeat(_info(boot=2), agent.now_ms)
+    agent.replace_worker(_info(boot=2))
     assert agent.supervisor.take_report(agent.now_ms).crashed_runs
     agent.now_ms += crash_history.REPORTED_MS
     assert not agent.supervisor.take_report(agent.now_ms).crashed_runs
@@ -781,7 +929,7 @@
     agent.now_ms += 500
     agent.order(starts=[START])
     assert agent.calls(worker_calls.StartCall)
-    agent.supervisor.on_heartbeat(_info(boot=2), agent.now_ms)
+    agent.replace_worker(_info(boot=2))
     assert not agent.supervisor.take_report(agent.now_ms).crashed_runs
 
 
@@ -848,6 +996,6 @@
     agent.supervisor.on_hold_reply(
         open_hold, worker_calls.HoldReply(unknown), agent.now_ms
     )
-    agent.supervisor.on_heartbeat(_info(boot=2), agent.now_ms)
+    agent.replace_worker(_info(boot=2))
     (run,) = agent.supervisor.take_report(agent.now_ms).crashed_runs
     assert run.age_ms == 30
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -410,8 +410,7 @@
         earlier_keys = [
             key
             for key, vm in self._runs.vm_by_worker().items()
-            if (key[0] == worker or vm == link.vm)
-            and (key[1] < boot or key == previous_key)
+            if vm == link.vm and (key[1] < boot or key == previous_key)
         ]
         for key in earlier_keys:
             earlier_link = self._link_by_key.get(key)
--- a/packages/mulberryloom-entry/tests/test_job_leader.py
+++ b/packages/mulberryloom-entry/tests/test_job_leader.py
@@ -427,6 +427,17 @@
     assert harness.stored_job.task_by_key[jobs.TaskKey(0, 0, 0)].last_run == 2
 
 
+# Guards against two runs of one task: a worker elsewhere with the name of
+# this one is no evidence that this one has ended.
+def test_worker_of_the_same_name_on_another_vm_ends_no_run():
+    harness = _harness_with_running_job()
+    for _ in range(20):
+        harness.report(running=[1], sequence=harness.revision)
+        harness.report(boot=9, sequence=harness.revision, node='other.1')
+        harness.advance()
+        assert not harness.started_runs()
+
+
 def test_warm_up_of_worker_is_kept_on_the_clock_of_the_planner():
     """The end must outlast the warm-up: runs begun before it end later."""
     harness = LeaderHarness()
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/trials.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/trials.py
@@ -11,7 +11,7 @@
 RECOVERY_PHASE_MS = 60_000
 _MAX_EVENT_INTERVAL_MS = 1_500
 #: Number of kinds of events. The last ones end the ongoing faults.
-EVENT_KINDS = 23
+EVENT_KINDS = 24
 #: Number of kinds from which on trials have evacuations.
 _EVACUATION_EVENT_KINDS = 20
 #: The same for crashes of workers.
@@ -138,6 +138,8 @@
             world.crash_worker(agent, agent.worker)
         case 20:
             world.resize_worker(agent)
+        case 21:
+            world.send_foreign_heartbeat(agent)
 
 
 def _change_evacuation(world: worlds.World, data_centre: str) -> None:
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/worker.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/worker.py
@@ -162,6 +162,10 @@
     ) -> worker_calls.CallReply:
         """Start a run, unless it is fenced, superseded or expired."""
         clock_ms = self.clock_ms(now_ms)
+        if call.worker != self.worker:
+            return worker_calls.CallReply(
+                worker_calls.CallStatus.OTHER_INCARNATION, clock_ms
+            )
         if self._is_fenced(call.generation):
             return worker_calls.CallReply(
                 worker_calls.CallStatus.FENCED, clock_ms
@@ -198,6 +202,10 @@
     ) -> worker_calls.CallReply:
         """Stop a run, and refuse to start it from now on."""
         clock_ms = self.clock_ms(now_ms)
+        if call.worker != self.worker:
+            return worker_calls.CallReply(
+                worker_calls.CallStatus.OTHER_INCARNATION, clock_ms
+            )
         if self._is_fenced(call.generation):
             return worker_calls.CallReply(
                 worker_calls.CallStatus.FENCED, clock_ms
@@ -220,6 +228,10 @@
         Ends up to ``call.observed`` are acknowledged and dropped.
         """
         clock_ms = self.clock_ms(now_ms)
+        if call.worker != self.worker:
+            return worker_calls.HoldReply(
+                worker_calls.CallStatus.OTHER_INCARNATION, clock_ms
+            )
         if self._is_fenced(call.generation):
             return worker_calls.HoldReply(
                 worker_calls.CallStatus.FENCED, clock_ms
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/world.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/world.py
@@ -414,6 +414,24 @@
 
         self._after(self.random.randrange(1_000, 5_000), leave)
 
+    def send_foreign_heartbeat(self, agent: _Agent) -> None:
+        """Deliver a heartbeat that another writer has sent.
+
+        It names another worker, another incarnation or another service.
+        """
+        info = agent.worker.info()
+        changes = self.random.choice(
+            [
+                {'worker': 'foreign', 'boot': self.now_ms},
+                {'boot': info.boot + 1_000},
+                {'boot': info.boot - 1_000},
+                {'service': 'no-such-service', 'sequence': 1_000_000},
+            ]
+        )
+        if not agent.is_frozen:
+            foreign = dataclasses.replace(info, **changes)
+            agent.supervisor.on_heartbeat(foreign, self.now_ms)
+
     def restart_worker_twice(self, agent: _Agent) -> None:
         """Crash a worker, and its next incarnation soon after."""
         self.restart_worker(agent)
