Restart no run that a partial list of ends lacks

Cause: a worker lists its ends in parts, 500 at a time on the platform, and the rest once these are acknowledged, which waits for the store. The leader took the runs that the first part lacks for lost.

Evidence: the case played on, logs kept: 160 times `run discarded`, `worker does not list the run`, from 02:20:52.549 on, and 160 times `late success accepted` when the other ends came.

Fix: a reply of the worker and the report of its agent tell whether the ends are partial, and a partial list discards no run. Following parts come as ends are recorded, so that what is lost is still found. The same on related paths: a new leader with runs that it knows from records only, and the history of crashes, which took a start that the lists lack for one that had not begun.

--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/crash_history.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/crash_history.py
@@ -79,8 +79,13 @@
         running: t.Iterable[RunKey],
         ended: t.Iterable[RunKey],
         now_ms: int,
+        *,
+        is_partial: bool,
     ) -> None:
-        """Apply the worker's lists of runs."""
+        """Apply the worker's lists of runs.
+
+        :param is_partial: whether more runs have ended than ``ended`` names.
+        """
         self.note_answer()
         listed = set(running)
         for key in listed:
@@ -93,7 +98,7 @@
                 continue
             if run.is_listed or is_lost or key in over:
                 del self._run_by_key[key]
-            else:
+            elif not is_partial:
                 run.since_ms = now_ms
 
     def end_incarnation(
--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/http_worker_client.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/http_worker_client.py
@@ -106,6 +106,7 @@
                     )
                     for item in document['ended']
                 ),
+                is_partial=bool(document.get('is_partial', False)),
             )
         except (KeyError, ValueError, TypeError, AttributeError) as problem:
             _log.warning(
--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_calls.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_calls.py
@@ -132,6 +132,9 @@
     :param clock_ms: time on the worker's clock; ``0`` when unknown.
     :param boot: start of the worker's incarnation, Unix milliseconds;
         ``0`` when unknown.
+    :param ended: runs that have ended and are not acknowledged, in the order
+        of their ends.
+    :param is_partial: whether more runs have ended than ``ended`` lists.
     """
 
     status: CallStatus
@@ -139,6 +142,7 @@
     boot: int = 0
     running: tuple[messages.RunningTask, ...] = ()
     ended: tuple[messages.EndedTask, ...] = ()
+    is_partial: bool = False
 
 
 class WorkerClient(t.Protocol):
--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
@@ -168,6 +168,7 @@
         )
         self._running: tuple[messages.RunningTask, ...] = ()
         self._ended: tuple[messages.EndedTask, ...] = ()
+        self._is_partial = False
         self._progress = progress_monitor.ProgressMonitor()
         self._crashes = crash_history.CrashHistory(options.order_ttl_ms)
         #: When the call was sent that returned the lists.
@@ -304,6 +305,7 @@
         )
         self._running = ()
         self._ended = ()
+        self._is_partial = False
         self._progress = progress_monitor.ProgressMonitor()
         self._has_current_lists = False
         self._shrunk_ms = 0
@@ -551,20 +553,32 @@
             not self._has_current_lists
             or _run_keys(reply.running) != _run_keys(self._running)
             or reply.ended != self._ended
+            or reply.is_partial != self._is_partial
         ):
             self._has_unreported_changes = True
         self._progress.on_list(reply.running, now_ms)
         is_standing_still = self._progress.is_standing_still(now_ms)
         if is_standing_still:
             self._has_unreported_changes = True
+        if reply.is_partial != self._is_partial:
+            _log.info(
+                'run lists are partial'
+                if reply.is_partial
+                else 'run lists are whole again',
+                worker=call.worker,
+                running=len(reply.running),
+                ended=len(reply.ended),
+            )
         self._running = reply.running
         self._ended = reply.ended
+        self._is_partial = reply.is_partial
         self._lists_requested_ms = sent_ms
         self._has_current_lists = True
         self._crashes.note_lists(
             _run_keys(self._running),
             {(end.task, end.run_number) for end in self._ended},
             now_ms,
+            is_partial=reply.is_partial,
         )
         self._resolve_listed_starts()
         if self._has_unacknowledged_ends() or is_standing_still:
@@ -948,6 +962,7 @@
             lists_age_ms=now_ms - self._lists_requested_ms,
             speed_permille=self._speed_permille,
             crashed_runs=self._crashes.recent(now_ms),
+            is_partial=self._is_partial,
         )
 
 
--- a/packages/mulberryloom-agent/tests/test_worker_supervisor.py
+++ b/packages/mulberryloom-agent/tests/test_worker_supervisor.py
@@ -999,3 +999,36 @@
     agent.replace_worker(_info(boot=2))
     (run,) = agent.supervisor.take_report(agent.now_ms).crashed_runs
     assert run.age_ms == 30
+
+
+# Guards against two runs of one task: the leader took the runs whose ends a
+# worker lists only in a later part for lost.
+def test_report_tells_that_more_runs_have_ended_than_are_listed():
+    agent = Agent()
+    end = messages.EndedTask(1, START.task, 1, 'done', '')
+    for is_partial in (True, False):
+        (hold,) = agent.calls()
+        reply = worker_calls.HoldReply(
+            DONE, agent.now_ms, 1, (), (end,), is_partial=is_partial
+        )
+        agent.supervisor.on_hold_reply(hold, reply, agent.now_ms)
+        report = agent.supervisor.take_report(agent.now_ms)
+        assert report.is_partial is is_partial
+        agent.now_ms += 300
+
+
+# Guards against blame for a run that has ended: its end stood in a part of the
+# list that the worker did not come to send before it crashed.
+def test_age_of_a_run_that_a_partial_list_lacks_counts_from_its_start():
+    agent = Agent()
+    agent.order(starts=[START])
+    open_hold, start = agent.supervisor.due_calls(agent.now_ms)
+    done = worker_calls.CallReply(DONE)
+    agent.supervisor.on_start_reply(start, done, agent.now_ms)
+    agent.now_ms += 900
+    (hold,) = agent.calls()
+    reply = worker_calls.HoldReply(DONE, agent.now_ms, 1, is_partial=True)
+    agent.supervisor.on_hold_reply(hold, reply, agent.now_ms)
+    agent.replace_worker(_info(boot=2))
+    (run,) = agent.supervisor.take_report(agent.now_ms).crashed_runs
+    assert run.age_ms == 900
--- a/packages/mulberryloom-core/src/mulberryloom_core/messages.py
+++ b/packages/mulberryloom-core/src/mulberryloom_core/messages.py
@@ -586,6 +586,8 @@
         less progress for it.
     :param crashed_runs: runs on earlier workers of the VM that crashed a
         short time ago, while this agent process ran.
+    :param is_partial: whether more runs may have ended than ``ended`` lists,
+        so that a run which is not listed may have ended.
     """
 
     worker: str
@@ -611,6 +613,7 @@
     speed_permille: int = 0
     lists_age_ms: int = 0
     crashed_runs: list[CrashedRun] = dataclasses.field(default_factory=list)
+    is_partial: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/mulberryloom-core/src/mulberryloom_core/schema/mulberryloom.capnp
+++ b/packages/mulberryloom-core/src/mulberryloom_core/schema/mulberryloom.capnp
@@ -514,6 +514,7 @@
   speedPermille @20 :Int64;
   listsAgeMs @21 :Int64;
   crashedRuns @22 :List(CrashedRun);
+  isPartial @23 :Bool;
 }
 
 struct StartRun {
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -511,7 +511,12 @@
     def _discard_unlisted_runs(
         self, link: fleet.WorkerLink, report: messages.WorkerReport
     ) -> None:
-        """Discard runs that the worker neither lists nor will start."""
+        """Discard runs that the worker neither lists nor will start.
+
+        A partial list tells nothing of the runs that it lacks.
+        """
+        if report.is_partial:
+            return
         listed = {(item.task, item.run_number) for item in report.running}
         listed |= {(item.task, item.run_number) for item in report.ended}
         listed |= {(item.task, item.run_number) for item in report.starting}
--- a/packages/mulberryloom-entry/tests/test_job_leader.py
+++ b/packages/mulberryloom-entry/tests/test_job_leader.py
@@ -67,6 +67,7 @@
             warmup_left_ms=found.get('warmup_left_ms', 0),
             lists_age_ms=found.get('lists_age_ms', 0),
             speed_permille=found.get('speed_permille', 0),
+            is_partial=found.get('is_partial', False),
         )
         self.leader.on_report(node, report, self.now_ms, self.now_ms)
 
@@ -275,6 +276,40 @@
     assert harness.started_runs() == [2]
 
 
+# Guards against two runs of one task: more runs had ended while the store was
+# away than a worker lists at a time.
+def test_run_that_a_partial_list_lacks_is_not_restarted():
+    harness = _harness_with_running_job()
+    sequence = harness.orders[0].sequence
+    harness.report(sequence=sequence, is_partial=True)
+    harness.advance()
+    assert harness.started_runs() == []
+    end = messages.EndedTask(501, TASK, 1, 'done', '')
+    harness.report(sequence=sequence, ended=[end])
+    harness.advance()
+    assert harness.started_runs() == []
+    assert _job_state(harness) is jobs.JobState.COMPLETED
+
+
+# Guards against the same with a new leader, which knows the run from its
+# record only.
+def test_inherited_run_that_a_partial_list_lacks_is_not_restarted():
+    harness = _harness_with_running_job()
+    record = job_records.encode(harness.stored_job)
+    entry = store.Entry(keys.job_key(JOB_ID), record, harness.revision)
+    options = leaders.LeaderOptions()
+    harness.leader = leaders.Leader(GENERATION, options, harness.now_ms)
+    harness.leader.catalogue = CATALOGUE
+    harness.leader.apply_records([entry], harness.now_ms, harness.now_ms)
+    for _ in range(40):
+        harness.report(is_partial=True)
+        harness.advance()
+        assert harness.started_runs() == []
+    harness.report()
+    harness.advance()
+    assert harness.started_runs() == [2]
+
+
 def test_expired_lease_discards_only_starts_that_agent_has_processed():
     harness = _harness_with_running_job()
     sequence = harness.orders[0].sequence
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/server.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/server.py
@@ -272,6 +272,7 @@
                     }
                     for item in hold_reply.ended
                 ],
+                'is_partial': hold_reply.is_partial,
             },
         )
 
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/trials.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/trials.py
@@ -16,6 +16,8 @@
 _EVACUATION_EVENT_KINDS = 20
 #: The same for crashes of workers.
 _CRASH_EVENT_KINDS = 22
+#: The same for workers that list few ends at a time.
+_PARTIAL_LIST_EVENT_KINDS = 24
 _RECOVERY_EVENT_KINDS = 2
 
 
@@ -39,6 +41,9 @@
             crashing_task_share=(
                 0.02 if event_kinds >= _CRASH_EVENT_KINDS else 0.0
             ),
+            ends_per_reply=(
+                2 if event_kinds >= _PARTIAL_LIST_EVENT_KINDS else 500
+            ),
         ),
         is_following=(is_following and event_kinds >= _EVACUATION_EVENT_KINDS),
     )
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/worker.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/worker.py
@@ -64,6 +64,7 @@
     :param clock_offset_ms: offset of the worker's clock from the simulated
         time, positive if it is ahead.
     :param lease_limit_ms: longest lease that the worker accepts, from now.
+    :param ends_per_reply: most ends that it lists at a time.
     :ivar is_failing_every_run: whether every run fails as soon as it works.
     :ivar is_stuck: whether runs make no progress.
     :ivar is_shedding: whether it refuses a part of the orders as unhealthy.
@@ -79,6 +80,7 @@
         clock_offset_ms: int = 0,
         lease_limit_ms: int = 6_000,
         data_centre: str = 'dc',
+        ends_per_reply: int = 500,
     ) -> None:
         self.worker = worker
         self.boot = boot
@@ -93,6 +95,7 @@
         self.is_failing_every_run = False
         self.is_stuck = False
         self.is_shedding = False
+        self._ends_per_reply = ends_per_reply
         self.run_by_task: dict[str, WorkerRun] = {}
         self.ends: list[messages.EndedTask] = []
         #: Sequences of the ends that were not yet acknowledged when the
@@ -258,7 +261,8 @@
             clock_ms,
             self.boot,
             running,
-            tuple(self.ends),
+            tuple(self.ends[: self._ends_per_reply]),
+            is_partial=len(self.ends) > self._ends_per_reply,
         )
 
     def _is_fenced(self, generation: int) -> bool:
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/world.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/world.py
@@ -54,6 +54,8 @@
         itself.
     :param crashing_task_share: tasks that crash each worker that starts
         them.
+    :param ends_per_reply: most ended runs that a worker lists at a time; a
+        number, not a probability.
     """
 
     lost_reply_share: float = 0.0
@@ -61,6 +63,7 @@
     lost_call_reply_share: float = 0.0
     failing_task_share: float = 0.0
     crashing_task_share: float = 0.0
+    ends_per_reply: int = 500
 
 
 @dataclasses.dataclass(slots=True)
@@ -190,6 +193,7 @@
             self._work_of,
             self.random.randrange(100_000),
             data_centre=f'd{index // 2}',
+            ends_per_reply=self.faults.ends_per_reply,
         )
         supervisor = worker_supervisor.WorkerSupervisor(
             worker_supervisor.WorkerSupervisorOptions(), self.now_ms
@@ -344,6 +348,7 @@
             self._work_of,
             self.random.randrange(100_000),
             data_centre=old.data_centre,
+            ends_per_reply=self.faults.ends_per_reply,
         )
         agent.heartbeat_due_ms = self.now_ms + self.random.randrange(
             100, 1_000
