Close the connections to workers and to the store with their owners

Cause: an agent did not close its connections to the worker, nor an entry the client of the store that it had built. Their writers were collected after the event loop was closed, when `StreamWriter.__del__` raises; where the collector ran while pytest compiled a traceback, the compiler failed. A writer that is collected late was traced to the place that opened it: 15 of 29 to calls to the worker, the rest to clients of the store and to servers of two test files.

Fix: `JobAgent.close` closes the client of its worker, an entry the store's client that it has built; the two test servers close their writers when they are cancelled. No test is changed in what it checks.

--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/agent.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/agent.py
@@ -115,6 +115,7 @@
     async def close(self) -> None:
         """Stop all tasks and sessions; the worker's runs continue."""
         await self._tasks.cancel()
+        await self._worker_client.close()
         await self._node.close()
         _log.info('agent stopped', agent=self.name)
 
--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/http_worker_client.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/http_worker_client.py
@@ -62,6 +62,10 @@
             address, WORKER_HEADER, _status
         )
 
+    async def close(self) -> None:
+        """Close the connections to the worker."""
+        await self._http.close()
+
     async def hold(
         self, call: worker_calls.HoldCall
     ) -> worker_calls.HoldReply:
--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_calls.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_calls.py
@@ -156,3 +156,6 @@
 
     async def stop(self, call: StopCall) -> CallReply:
         """Stop a run."""
+
+    async def close(self) -> None:
+        """Close the connections to the worker."""
--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_transport.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_transport.py
@@ -69,6 +69,11 @@
         # whose lists were read.
         self._hold_client = http_client.HttpClient.from_limits(limits)
 
+    async def close(self) -> None:
+        """Close the idle connections."""
+        await self._order_client.close()
+        await self._hold_client.close()
+
     @property
     def has_open_hold_connection(self) -> bool:
         """Whether the next hold call uses a connection used before."""
--- a/packages/mulberryloom-agent/tests/test_http_worker_client.py
+++ b/packages/mulberryloom-agent/tests/test_http_worker_client.py
@@ -48,6 +48,7 @@
         else:
             replies.append(await worker.stop(call))
     server.stop_accepting()
+    await worker.close()
     return replies, requests
 
 
--- a/packages/mulberryloom-core/tests/test_http.py
+++ b/packages/mulberryloom-core/tests/test_http.py
@@ -157,10 +157,12 @@
         await reader.readuntil(b'\r\n\r\n')
         head = f'HTTP/1.1 200 OK\r\ncontent-length: {parts}\r\n\r\n'
         writer.write(head.encode())
-        for _ in range(parts):
-            await asyncio.sleep(pause_s)
-            writer.write(b'x')
-        writer.close()
+        try:
+            for _ in range(parts):
+                await asyncio.sleep(pause_s)
+                writer.write(b'x')
+        finally:
+            writer.close()
 
     server = await asyncio.start_server(serve, '127.0.0.1', 0)
     host, port = server.sockets[0].getsockname()[:2]
--- a/packages/mulberryloom-core/tests/test_store_client.py
+++ b/packages/mulberryloom-core/tests/test_store_client.py
@@ -217,8 +217,10 @@
             writer.write(b'%x\r\n%b\r\n' % (len(chunk), chunk))
             await writer.drain()
             await asyncio.sleep(0)
-        await reader.read()
-        writer.close()
+        try:
+            await reader.read()
+        finally:
+            writer.close()
 
     async def scenario():
         listener = await asyncio.start_server(serve, '127.0.0.1', 0)
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/process/runner.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/process/runner.py
@@ -69,6 +69,7 @@
         self._settings = settings
         self._clock = clock
         self._store = store
+        self._own_store: store_client.EtcdStore | None = None
         self._incarnation = clock.wall_ms()
         peer_id = identity.PeerId(
             identity.Role.ENTRY, settings.name, self._incarnation
@@ -101,9 +102,13 @@
         :param store: client of the store; ``None`` for one with the
             addresses in the settings.
         """
-        if store is None:
-            store = store_client.EtcdStore.from_settings(settings.store)
-        return cls(settings, clock or clocks.SystemClock(), store)
+        clock = clock or clocks.SystemClock()
+        if store is not None:
+            return cls(settings, clock, store)
+        own_store = store_client.EtcdStore.from_settings(settings.store)
+        process = cls(settings, clock, own_store)
+        process._own_store = own_store
+        return process
 
     @property
     def settings(self) -> entry_settings.EntrySettings:
@@ -227,6 +232,8 @@
             await self._node.close()
             if self._jobs is not None:
                 await self._jobs.close()
+            if self._own_store is not None:
+                await self._own_store.close()
         _log.info('entry stopped')
 
     async def _listen(
