Check values from outside where they are decoded, and skip odd ones alone

Cause: values were used before their type and range were checked, one odd row discarded a whole list or message, and a loop that raised did not run again.

Fix: addresses (numeric host, port, length), numbers (0 to 2^53), texts and names are checked where they are decoded; rows, addresses and records that fail are skipped alone with a log line, and lists of runs that lack a row count as partial. Loops of entries, agents and terms run again after an unexpected error; a failed write of records ends the term, since what is in flight is known to the store only.

The settings of entries and agents refuse hosts that are not numeric with a problem; before, the start failed later.

--- a/packages/mulberryloom-agent/src/mulberryloom_agent/connection/job_loopback.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/connection/job_loopback.py
@@ -12,6 +12,7 @@
 
 #: Prefix of a worker's path; the worker's name follows.
 WORKER_PATH_PREFIX = '/v1/worker/'
+MAX_NAME_LENGTH = 100
 
 
 class Listener(t.Protocol):
@@ -45,7 +46,7 @@
         worker = urllib.parse.unquote(
             request.path.removeprefix(WORKER_PATH_PREFIX)
         )
-        if worker == request.path or not worker:
+        if worker == request.path or not _is_name(worker):
             return _json(
                 404,
                 {
@@ -74,5 +75,15 @@
         return _json(200, {})
 
 
+def _is_name(text: str) -> bool:
+    """Whether a text can name a worker, also in a header."""
+    return (
+        0 < len(text) <= MAX_NAME_LENGTH
+        and text.isascii()
+        and text.isprintable()
+        and ' ' not in text
+    )
+
+
 def _json(status: int, body: dict[str, t.Any]) -> http_types.HttpResponse:
     return http_types.HttpResponse(status, body=json.dumps(body).encode())
--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/agent.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/agent.py
@@ -104,9 +104,9 @@
         """Connect to the entries and start all background tasks."""
         for address in self._known_entries:
             self._node.connect(address)
-        self._tasks.spawn(self._receive_events())
-        self._tasks.spawn(self._run_worker_loop())
-        self._tasks.spawn(self._discover_entries())
+        self._tasks.spawn_loop(self._receive_events)
+        self._tasks.spawn_loop(self._run_worker_loop)
+        self._tasks.spawn_loop(self._discover_entries)
         self._tasks.spawn(lag.measure(self.process_metrics, self._clock))
         _log.info(
             'agent started', agent=self.name, seeds=len(self._known_entries)
@@ -169,10 +169,10 @@
                 self._on_orders(peer.name, orders)
 
     def _on_notice(self, sender: str, notice: messages.EntryNotice) -> None:
-        for text in [*notice.entries, notice.leader_address]:
-            if not text:
-                continue
-            address = identity.Address.from_text(text)
+        texts = [*notice.entries, notice.leader_address]
+        for address in identity.read_addresses(
+            (sender, text) for text in texts if text
+        ):
             if address not in self._known_entries:
                 self._known_entries[address] = None
                 self._node.connect(address)
@@ -234,7 +234,7 @@
     async def _execute(self, call: worker_supervisor.Call) -> None:
         match call:
             case worker_calls.HoldCall():
-                hold_reply = await self._worker_client.hold(call)
+                hold_reply = await self._hold(call)
                 self.process_metrics.count(
                     'holds_total', hold_reply.status.value
                 )
@@ -242,7 +242,9 @@
                     call, hold_reply, self._clock.now_ms()
                 )
             case worker_calls.StartCall():
-                start_reply = await self._worker_client.start(call)
+                start_reply = await self._order(
+                    self._worker_client.start(call)
+                )
                 self.process_metrics.count(
                     'starts_total', start_reply.status.value
                 )
@@ -250,7 +252,7 @@
                     call, start_reply, self._clock.now_ms()
                 )
             case worker_calls.StopCall():
-                stop_reply = await self._worker_client.stop(call)
+                stop_reply = await self._order(self._worker_client.stop(call))
                 self.process_metrics.count(
                     'stops_total', stop_reply.status.value
                 )
@@ -258,3 +260,22 @@
                     call, stop_reply, self._clock.now_ms()
                 )
         self._wake.set()
+
+    async def _hold(
+        self, call: worker_calls.HoldCall
+    ) -> worker_calls.HoldReply:
+        """Make a hold call; without a reply, the lists would not be read."""
+        try:
+            return await self._worker_client.hold(call)
+        except Exception:
+            _log.exception('hold call failed', worker=call.worker)
+            return worker_calls.HoldReply(worker_calls.CallStatus.UNKNOWN)
+
+    async def _order(
+        self, reply: t.Awaitable[worker_calls.CallReply]
+    ) -> worker_calls.CallReply:
+        try:
+            return await reply
+        except Exception:
+            _log.exception('order call failed')
+            return worker_calls.CallReply(worker_calls.CallStatus.UNKNOWN)
--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/http_worker_client.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/http_worker_client.py
@@ -14,6 +14,7 @@
 from result import Result
 import structlog
 
+from . import run_lists
 from . import worker_calls
 from . import worker_transport
 
@@ -87,30 +88,23 @@
         if status is not worker_calls.CallStatus.DONE:
             return worker_calls.HoldReply(status)
         try:
+            running, lacks_running = run_lists.read_rows(
+                call.worker, document['running'], _running_task
+            )
+            ended, lacks_ended = run_lists.read_rows(
+                call.worker, document['ended'], _ended_task
+            )
             return worker_calls.HoldReply(
                 status,
                 int(document['clock_ms']),
                 int(document['boot_ms']),
-                tuple(
-                    messages.RunningTask(
-                        str(item['task']),
-                        int(item['run']),
-                        str(item.get('checkpoint', '')),
-                        int(item.get('progress_percent', 0)),
-                    )
-                    for item in document['running']
-                ),
-                tuple(
-                    messages.EndedTask(
-                        int(item['sequence']),
-                        str(item['task']),
-                        int(item['run']),
-                        str(item['how']),
-                        str(item.get('checkpoint', '')),
-                    )
-                    for item in document['ended']
+                running,
+                ended,
+                is_partial=(
+                    lacks_running
+                    or lacks_ended
+                    or bool(document.get('is_partial', False))
                 ),
-                is_partial=bool(document.get('is_partial', False)),
             )
         except (KeyError, ValueError, TypeError, AttributeError) as problem:
             _log.warning(
@@ -167,6 +161,25 @@
     return worker_calls.CallStatus.UNKNOWN
 
 
+def _running_task(item: t.Any) -> messages.RunningTask:
+    return run_lists.running_task(
+        item['task'],
+        item['run'],
+        item.get('checkpoint', ''),
+        item.get('progress_percent', 0),
+    )
+
+
+def _ended_task(item: t.Any) -> messages.EndedTask:
+    return run_lists.ended_task(
+        item['sequence'],
+        item['task'],
+        item['run'],
+        item['how'],
+        item.get('checkpoint', ''),
+    )
+
+
 def read_heartbeat(
     worker: str, body: bytes
 ) -> Result[worker_calls.WorkerInfo, list[str]]:
--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_calls.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_calls.py
@@ -134,7 +134,8 @@
         ``0`` when unknown.
     :param ended: runs that have ended and are not acknowledged, in the order
         of their ends.
-    :param is_partial: whether more runs have ended than ``ended`` lists.
+    :param is_partial: whether the lists may lack runs: more have ended than
+        ``ended`` lists, or some could not be read.
     """
 
     status: CallStatus
--- a/packages/mulberryloom-agent/src/mulberryloom_agent/process/settings.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/process/settings.py
@@ -14,7 +14,6 @@
 _ADDRESS = {'type': 'string', 'pattern': r'^[0-9A-Fa-f.:\[\]]+:[0-9]{1,5}$'}
 _NAME = {'type': 'string', 'pattern': r'^[A-Za-z0-9._-]{1,100}$'}
 
-MAX_PORT = 65_535
 ADDRESS_KEYS = ('listen', 'backend_listen', 'platform', 'metrics_listen')
 
 SCHEMA: dict[str, t.Any] = {
@@ -150,11 +149,17 @@
 def _with_checked_ports(
     document: dict[str, t.Any],
 ) -> Result[AgentSettings, list[checks.Problem]]:
-    problems = [
-        checks.Problem(f'$.{path}', f'a port below 65536, not {text!r}')
-        for path, text in _addresses_by_path(document)
-        if int(text.rpartition(':')[2]) > MAX_PORT
-    ]
+    problems = []
+    for path, text in _addresses_by_path(document):
+        try:
+            identity.Address.from_text(text)
+        except ValueError:
+            problems.append(
+                checks.Problem(
+                    f'$.{path}',
+                    f'a numeric address and a port below 65536, not {text!r}',
+                )
+            )
     if problems:
         return Err(problems)
     return Ok(AgentSettings.from_document(document))
--- a/packages/mulberryloom-agent/tests/test_http_worker_client.py
+++ b/packages/mulberryloom-agent/tests/test_http_worker_client.py
@@ -196,3 +196,16 @@
     listener = Listener()
     assert _respond(listener, method, path, body).status == status
     assert not listener.infos
+
+
+# Guards against an agent that waits for the reply to a call which its client
+# cannot send: the name of a worker is sent in a header.
+@pytest.mark.parametrize('name', ['a%0Ab', 'a%20b', '%C3%A9', 'a' * 101, ''])
+def test_heartbeat_under_an_unusable_name_is_refused(name):
+    handler = job_loopback.JobLoopback(None)
+    request = http_types.HttpRequest(
+        'PUT',
+        f'{job_loopback.WORKER_PATH_PREFIX}{name}',
+        body=json.dumps(HEARTBEAT).encode(),
+    )
+    assert asyncio.run(handler.respond(request)).status == 404
--- a/packages/mulberryloom-core/src/mulberryloom_core/connection/node.py
+++ b/packages/mulberryloom-core/src/mulberryloom_core/connection/node.py
@@ -255,7 +255,8 @@
                     address.host,
                     address.port,
                 )
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError, ValueError, OverflowError):
+            # The last two are raised for addresses that no socket accepts.
             return None
         return await link.handshake_result
 
--- a/packages/mulberryloom-core/src/mulberryloom_core/identity.py
+++ b/packages/mulberryloom-core/src/mulberryloom_core/identity.py
@@ -2,7 +2,17 @@
 
 import dataclasses
 import enum
+import ipaddress
 import secrets
+import typing as t
+
+import structlog
+
+MAX_PORT = 65_535
+#: Longest text of an address; the longest one of IPv6 has a scope.
+MAX_ADDRESS_LENGTH = 100
+
+_log = structlog.get_logger(__name__)
 
 
 class Role(enum.Enum):
@@ -52,17 +62,40 @@
     def from_text(cls, text: str) -> 'Address':
         """Parse ``host:port``.
 
-        :raises ValueError: if the text has another form.
+        :raises ValueError: if the text has another form, the host is not a
+            numeric address, or the port is out of range.
         """
         host, separator, port = text.rpartition(':')
-        if not separator or not host or not port.isdecimal():
-            raise ValueError(f'expected host:port, got {text!r}')
-        return cls(host, int(port))
+        is_port = port.isascii() and port.isdecimal()
+        if len(text) > MAX_ADDRESS_LENGTH or not (separator and is_port):
+            raise ValueError(
+                f'expected host:port, got {text[:MAX_ADDRESS_LENGTH]!r}'
+            )
+        ipaddress.ip_address(host.removeprefix('[').removesuffix(']'))
+        number = int(port)
+        if number > MAX_PORT:
+            raise ValueError(f'port: expected at most {MAX_PORT}, got {port}')
+        return cls(host, number)
 
     def __str__(self) -> str:
         return f'{self.host}:{self.port}'
 
 
+def read_addresses(
+    text_by_source: t.Iterable[tuple[str, str]],
+) -> t.Iterator[Address]:
+    """Yield the addresses that can be read; the others are logged.
+
+    :param text_by_source: pairs of what names an address, such as a key, and
+        its text.
+    """
+    for source, text in text_by_source:
+        try:
+            yield Address.from_text(text)
+        except ValueError as error:
+            _log.warning('address skipped', source=source, reason=str(error))
+
+
 def generate_process_name(vm: str) -> str:
     """Generate a peer name that is unique to one start of a process.
 
--- a/packages/mulberryloom-core/src/mulberryloom_core/messages.py
+++ b/packages/mulberryloom-core/src/mulberryloom_core/messages.py
@@ -586,8 +586,8 @@
         less progress for it.
     :param crashed_runs: runs on earlier workers of the VM that crashed a
         short time ago, while this agent process ran.
-    :param is_partial: whether more runs may have ended than ``ended`` lists,
-        so that a run which is not listed may have ended.
+    :param is_partial: whether ``running`` and ``ended`` may lack runs, since
+        the worker lists its ends in parts or a row could not be read.
     """
 
     worker: str
--- a/packages/mulberryloom-core/src/mulberryloom_core/process/background.py
+++ b/packages/mulberryloom-core/src/mulberryloom_core/process/background.py
@@ -5,6 +5,10 @@
 
 import structlog
 
+#: Pause before a loop that has failed runs again.
+RESTART_PAUSE_MS = 500
+_MS_PER_S = 1_000
+
 _log = structlog.get_logger(__name__)
 
 
@@ -22,6 +26,16 @@
         self._tasks.add(task)
         task.add_done_callback(self._on_done)
 
+    def spawn_loop(
+        self, run: t.Callable[[], t.Coroutine[t.Any, t.Any, None]]
+    ) -> None:
+        """Run a loop until it returns, and again whenever it fails.
+
+        :param run: starts the loop; one that starts again must not rely on
+            what its earlier run had left half done.
+        """
+        self.spawn(_run_until_return(run))
+
     async def cancel(self) -> None:
         """Cancel all tasks and wait until they have ended."""
         for task in list(self._tasks):
@@ -32,3 +46,18 @@
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             _log.error('background task failed', exc_info=task.exception())
+
+
+async def _run_until_return(
+    run: t.Callable[[], t.Coroutine[t.Any, t.Any, None]],
+) -> None:
+    while True:
+        try:
+            await run()
+            return
+        except Exception:
+            _log.exception(
+                'background loop failed',
+                loop=getattr(run, '__qualname__', repr(run)),
+            )
+        await asyncio.sleep(RESTART_PAUSE_MS / _MS_PER_S)
--- a/packages/mulberryloom-core/src/mulberryloom_core/process/settings.py
+++ b/packages/mulberryloom-core/src/mulberryloom_core/process/settings.py
@@ -55,9 +55,9 @@
     """Parse JSON text and validate it against a schema."""
     try:
         document = json.loads(text)
-    except ValueError as error:
+        problems = check(document, schema)
+    except (ValueError, RecursionError) as error:
         return Err([Problem('$', f'valid JSON, but parsing failed: {error}')])
-    problems = check(document, schema)
     if problems:
         return Err(problems)
     return Ok(document)
--- a/packages/mulberryloom-core/tests/test_settings.py
+++ b/packages/mulberryloom-core/tests/test_settings.py
@@ -31,3 +31,9 @@
 def test_read_reports_missing_file(tmp_path):
     problems = settings.read(tmp_path / 'none.json', SCHEMA).err_value
     assert problems[0].path == '$'
+
+
+# Guards against an exception in the handler of a request or of a heartbeat.
+def test_deeply_nested_text_is_a_problem():
+    text = b'{"a":' + b'[' * 100_000 + b']' * 100_000 + b'}'
+    assert settings.parse(text, {'type': 'object'}).is_err()
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/election.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/election.py
@@ -39,11 +39,10 @@
             return cls()
         try:
             document = orjson.loads(entry.value)
-            return cls(
-                str(document['name']),
-                str(document['address']),
-                entry.revision,
-            )
+            name, address = document['name'], document['address']
+            if not isinstance(name, str) or not isinstance(address, str):
+                raise ValueError('name and address: expected strings')
+            return cls(name, address, entry.revision)
         except (ValueError, KeyError, TypeError) as error:
             _log.warning('leader record is unreadable', reason=repr(error))
             return cls('', '', entry.revision)
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/entry.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/entry.py
@@ -225,16 +225,16 @@
         await self._node.listen(self._identity.address)
         for address in self._entry_addresses:
             self._connect(address)
-        for coroutine in (
-            self._receive(),
-            self._feed.run(),
-            self.store.run_probes(),
-            self._send_notices(),
-            self._watch_leader(),
-            self._registration.run(),
-            lag.measure(self.process_metrics, self._clock),
+        for run in (
+            self._receive,
+            self._feed.run,
+            self.store.run_probes,
+            self._send_notices,
+            self._watch_leader,
+            self._registration.run,
         ):
-            self._tasks.spawn(coroutine)
+            self._tasks.spawn_loop(run)
+        self._tasks.spawn(lag.measure(self.process_metrics, self._clock))
         _log.info(
             'entry started', entry=self.name, seeds=len(self._identity.seeds)
         )
@@ -321,8 +321,10 @@
     def _on_notice(self, sender: str, notice: messages.EntryNotice) -> None:
         now_ms = self._clock.now_ms()
         self._peer_by_name[sender] = _Peer(notice, now_ms)
-        for text in notice.entries:
-            self._on_address(identity.Address.from_text(text))
+        for address in identity.read_addresses(
+            (sender, text) for text in notice.entries
+        ):
+            self._on_address(address)
         if notice.leader_generation > self._leader_record.generation:
             self._follow(
                 election.LeaderRecord(
@@ -706,11 +708,13 @@
             if address != self._identity.address
         }
         live = self._live_peers()
-        following = {
-            identity.Address.from_text(peer.notice.address)
-            for name, peer in self._peer_by_name.items()
-            if name in live and peer.notice.leader_generation == generation
-        }
+        following = set(
+            identity.read_addresses(
+                (name, peer.notice.address)
+                for name, peer in self._peer_by_name.items()
+                if name in live and peer.notice.leader_generation == generation
+            )
+        )
         return known <= following
 
     def end_term(self, reason: str) -> None:
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/registration.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/registration.py
@@ -93,10 +93,7 @@
     entries: t.Iterable[store.Entry],
 ) -> t.Iterator[identity.Address]:
     """Yield the addresses of registrations, skipping unreadable ones."""
-    for entry in entries:
-        try:
-            yield identity.Address.from_text(entry.value.decode())
-        except ValueError as error:
-            _log.warning(
-                'entry registration skipped', key=entry.key, reason=str(error)
-            )
+    return identity.read_addresses(
+        (entry.key, entry.value.decode('utf-8', 'replace'))
+        for entry in entries
+    )
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/term.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/term.py
@@ -84,15 +84,15 @@
 
     def start(self, tasks: background.BackgroundTasks) -> None:
         """Start all tasks of the term."""
-        for coroutine in (
-            self._run_loop(),
-            self._write_records(),
-            self._watch_records(),
-            self._confirm_leadership(),
+        for run in (
+            self._run_loop,
+            self._watch_records,
+            self._confirm_leadership,
         ):
-            tasks.spawn(coroutine)
+            tasks.spawn_loop(run)
+        tasks.spawn(self._write_records_or_resign())
         if self.leader.evacuation_prefix:
-            tasks.spawn(self._follow_evacuations())
+            tasks.spawn_loop(self._follow_evacuations)
 
     def wake(self) -> None:
         """Start the next round of the main loop at once."""
@@ -139,6 +139,18 @@
         spent_ms = self._clock.now_ms() - now_ms
         self._next_plan_ms = now_ms + spent_ms * (1 + PLAN_PAUSE_FACTOR)
 
+    async def _write_records_or_resign(self) -> None:
+        """Write records; an unexpected error ends the term.
+
+        What was in flight then is known to the store only, from which the
+        next leader starts.
+        """
+        try:
+            await self._write_records()
+        except Exception:
+            _log.exception('writing of records failed')
+            self._owner.end_term('records cannot be written')
+
     async def _write_records(self) -> None:
         """Write batches one at a time, each until the store replies."""
         leader = self.leader
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/process/journal.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/process/journal.py
@@ -17,6 +17,7 @@
 from result import Err
 from result import Ok
 from result import Result
+import structlog
 
 from . import records
 
@@ -39,6 +40,8 @@
 EXPIRY_INTERVAL_MS = 10_000
 MAX_BATCH_KEYS = 100
 
+_log = structlog.get_logger(__name__)
+
 _Kind = exceptions.ErrorKind
 _Ran = exceptions.Ran
 
@@ -286,7 +289,10 @@
                 return
             assert isinstance(result.ok_value, store.Entries)
             for entry in result.ok_value.entries:
-                found.append(records.JournalRecord.decode(entry.value))
+                try:
+                    found.append(records.JournalRecord.decode(entry.value))
+                except ValueError as error:
+                    _log_skipped(entry, error)
             # Results are read after the journal, so that a request that
             # ends between the two reads is among them.
             listing = store.ListKeys(results_prefix)
@@ -300,7 +306,11 @@
             finished_ids = set()
             for entry in result.ok_value.entries:
                 finished_ids.add(entry.key.removeprefix(results_prefix))
-                record = records.ResultRecord.decode(entry.value)
+                try:
+                    record = records.ResultRecord.decode(entry.value)
+                except ValueError as error:
+                    _log_skipped(entry, error)
+                    continue
                 age_ms = max(0, wall_ms - record.ended_wall_ms)
                 expires_ms = now + max(0, RESULT_RETENTION_MS - age_ms)
                 self._expires_ms_by_key.setdefault(entry.key, expires_ms)
@@ -410,6 +420,10 @@
     return Err(exceptions.Error.from_kind(kind))
 
 
+def _log_skipped(entry: store.Entry, error: ValueError) -> None:
+    _log.warning('record skipped', key=entry.key, reason=str(error))
+
+
 def _first_value(result: 'StoreResult') -> bytes | None:
     if isinstance(result, Err):
         return None
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/process/records.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/process/records.py
@@ -14,6 +14,8 @@
 from mulberryloom_core import messages
 from mulberryloom_core import shapes
 
+_Record = t.TypeVar('_Record')
+
 CLAIMS_PREFIX = 'claims/'
 JOURNAL_PREFIX = 'journal/'
 RESULTS_PREFIX = 'results/'
@@ -83,8 +85,11 @@
 
     @classmethod
     def decode(cls, value: bytes) -> 'Claim':
-        """Parse a value from the store."""
-        return cls(**json.loads(value))
+        """Parse a value from the store.
+
+        :raises ValueError: if it is no such record.
+        """
+        return _decode(value, lambda document: cls(**document))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -111,8 +116,14 @@
 
     @classmethod
     def decode(cls, value: bytes) -> 'JournalRecord':
-        """Parse a value from the store."""
-        document = json.loads(value)
+        """Parse a value from the store.
+
+        :raises ValueError: if it is no such record.
+        """
+        return _decode(value, cls._from_document)
+
+    @classmethod
+    def _from_document(cls, document: dict[str, t.Any]) -> 'JournalRecord':
         work = document.pop('work')
         demand = work['demand']
         demand['adjacency'] = shapes.Adjacency(demand['adjacency'])
@@ -148,8 +159,14 @@
 
     @classmethod
     def decode(cls, value: bytes) -> 'ResultRecord':
-        """Parse a value from the store."""
-        document = json.loads(value)
+        """Parse a value from the store.
+
+        :raises ValueError: if it is no such record.
+        """
+        return _decode(value, cls._from_document)
+
+    @classmethod
+    def _from_document(cls, document: dict[str, t.Any]) -> 'ResultRecord':
         outcome = document.pop('outcome')
         outcome['body'] = base64.b64decode(outcome['body'])
         error = outcome['error']
@@ -160,6 +177,15 @@
         return cls(messages.Outcome(**outcome), **document)
 
 
+def _decode(
+    value: bytes, from_document: t.Callable[[dict[str, t.Any]], _Record]
+) -> _Record:
+    try:
+        return from_document(json.loads(value))
+    except (AttributeError, LookupError, RecursionError, TypeError) as error:
+        raise ValueError(f'invalid record: {error!r}') from error
+
+
 def _encode_json(document: dict[str, t.Any]) -> bytes:
     text = json.dumps(document, sort_keys=True, separators=(',', ':'))
     return text.encode()
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/process/registry.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/process/registry.py
@@ -10,6 +10,7 @@
 
 import typing as t
 
+from mulberryloom_core import identity
 from mulberryloom_core import store
 from result import Err
 
@@ -133,5 +134,6 @@
         for entry in listed.entries:
             name = entry.key.removeprefix(ENTRIES_PREFIX)
             if name != self._entry_info.name:
-                address = entry.value.decode('utf-8', 'replace')
-                self._on_found(name, address)
+                text = entry.value.decode('utf-8', 'replace')
+                for address in identity.read_addresses([(entry.key, text)]):
+                    self._on_found(name, str(address))
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/process/settings.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/process/settings.py
@@ -27,7 +27,6 @@
     'peers_advertise',
     'metrics_listen',
 )
-_MAX_PORT = 65_535
 _POSITIVE_INTEGER = {'type': 'integer', 'minimum': 1}
 _NON_NEGATIVE_NUMBER = {'type': 'number', 'minimum': 0}
 
@@ -274,7 +273,7 @@
 def _check_ports(
     document: dict[str, t.Any],
 ) -> list[core_settings.Problem]:
-    """Return a problem for each address whose port is out of range."""
+    """Return a problem for each address that cannot be used."""
     texts_by_path = {
         f'$.{key}': document[key] for key in _ADDRESS_KEYS if key in document
     }
@@ -286,8 +285,16 @@
         texts_by_path['$.jobs.listen'] = jobs['listen']
     for index, text in enumerate(jobs.get('entries', [])):
         texts_by_path[f'$.jobs.entries[{index}]'] = text
-    return [
-        core_settings.Problem(path, f'a port up to {_MAX_PORT}, got {text!r}')
-        for path, text in texts_by_path.items()
-        if identity.Address.from_text(text).port > _MAX_PORT
-    ]
+    problems = []
+    for path, text in texts_by_path.items():
+        try:
+            identity.Address.from_text(text)
+        except ValueError:
+            problems.append(
+                core_settings.Problem(
+                    path,
+                    'a numeric address and a port up to '
+                    f'{identity.MAX_PORT}, got {text!r}',
+                )
+            )
+    return problems
--- a/packages/mulberryloom-entry/tests/test_job_entry.py
+++ b/packages/mulberryloom-entry/tests/test_job_entry.py
@@ -4,12 +4,14 @@
 
 from mulberryloom_core import clock as clocks
 from mulberryloom_core import identity
+from mulberryloom_core import messages
 from mulberryloom_core import store
 from mulberryloom_core.version import configuration as configurations
 from mulberryloom_entry.jobs import configuration_feed
 from mulberryloom_entry.jobs import election
 from mulberryloom_entry.jobs import entry as entries
 from mulberryloom_entry.jobs import keys
+from mulberryloom_entry.jobs import registration
 from mulberryloom_standins.store import core as store_core
 import pytest
 
@@ -103,10 +105,23 @@
     asyncio.run(scenario())
 
 
-def test_entry_replaces_unreadable_leader_record():
+# Guards against entries that stop following the leader: the record is read by
+# the loop that follows it.
+@pytest.mark.parametrize(
+    'value',
+    [
+        b'x',
+        b'\xff',
+        b'[]',
+        b'{"name": 5, "address": "a:1"}',
+        b'{"name": ' + b'[' * 1_000 + b']' * 1_000 + b', "address": "a:1"}',
+        b'[' * 100_000,
+    ],
+)
+def test_entry_replaces_unreadable_leader_record(value):
     async def scenario():
         standin_store = StandinStore()
-        standin_store.core.handle(store.Transact({}, {keys.LEADER: b'x'}), 0)
+        standin_store.core.handle(store.Transact({}, {keys.LEADER: value}), 0)
         job_entry = _make_entry(standin_store, clocks.ManualClock())
         await job_entry._try_to_lead()
         await job_entry._try_to_lead()
@@ -153,3 +168,45 @@
     with pytest.raises(asyncio.CancelledError):
         asyncio.run(entries.JobEntry._receive(receiver))
     assert receiver.handled == 3
+
+
+# Guards against entries and agents that find no others, since one odd entry
+# stands among the registrations.
+def test_odd_registration_is_skipped_alone():
+    values = [
+        b'127.0.0.1:70000',
+        b'\xff\xfe',
+        b'[' * 100_000,
+        b'127.0.0.1:80',
+        b'127.0.0.1:' + b'9' * 5_000,
+    ]
+    found = registration.read_addresses(
+        store.Entry(f'{keys.ENTRIES}{index}', value, index + 1)
+        for index, value in enumerate(values)
+    )
+    assert list(found) == [identity.Address('127.0.0.1', 80)]
+
+
+# Guards against an entry that drops a notice, and with it the leader, for one
+# odd address.
+def test_odd_address_in_a_notice_does_not_hide_the_leader():
+    async def scenario():
+        job_entry = _make_entry(StandinStore(), clocks.ManualClock())
+        job_entry._on_notice(
+            'other.1',
+            messages.EntryNotice(
+                '127.0.0.1:70000',
+                'other.1',
+                '127.0.0.1:2',
+                7,
+                True,
+                False,
+                -1,
+                ['127.0.0.1:70000', 'no-address'],
+            ),
+        )
+        assert job_entry._leader_record.generation == 7
+        job_entry.is_followed_by_all(7)
+        await job_entry.close()
+
+    asyncio.run(scenario())
--- a/packages/mulberryloom-entry/tests/test_registry.py
+++ b/packages/mulberryloom-entry/tests/test_registry.py
@@ -1,5 +1,7 @@
 """Tests of the registration of entries in the store."""
 
+from mulberryloom_core import messages
+from mulberryloom_core import store
 from mulberryloom_entry.process import registry
 
 KEY = 'entries/entry-1'
@@ -46,3 +48,20 @@
     region.store.is_down = False
     region.run(10_000)
     assert registered_keys(region) == [KEY]
+
+
+# Guards against a place among the entries to call for an address that cannot
+# be called.
+def test_registry_skips_an_odd_registration_alone():
+    found = []
+    info = messages.EntryInfo('entry-1', 1, '10.0.0.1:80')
+    registration = registry.Registry(
+        info, None, lambda name, address: found.append((name, address))
+    )
+    values = [b'10.0.0.2:70000', b'\xff', b'[' * 100_000, b'10.0.0.2:80']
+    entries = [
+        store.Entry(f'{registry.ENTRIES_PREFIX}e{index}', value, index + 1)
+        for index, value in enumerate(values)
+    ]
+    registration._on_listed(store.Entries(entries, 9), 0)
+    assert found == [('e3', '10.0.0.2:80')]
