--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_calls.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_calls.py
@@ -6,6 +6,9 @@
 
 from mulberryloom_core import messages
 
+#: Worker name and start time of an incarnation.
+IncarnationKey: t.TypeAlias = tuple[str, int]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkerInfo:
@@ -35,6 +38,11 @@
     remaining_ms: int
     warmup_left_ms: int = 0
 
+    @property
+    def incarnation(self) -> IncarnationKey:
+        """Worker name and start time of this incarnation."""
+        return self.worker, self.boot
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HoldCall:
--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_candidates.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_candidates.py
@@ -6,7 +6,6 @@
 """
 
 import dataclasses
-import typing as t
 
 import structlog
 
@@ -15,9 +14,6 @@
 #: Limit of the candidates; the one that was added first is dropped first.
 MAX_CANDIDATES = 8
 
-#: Worker name and start time of an incarnation.
-IncarnationKey: t.TypeAlias = tuple[str, int]
-
 _log = structlog.get_logger(__name__)
 
 
@@ -52,11 +48,13 @@
     def __init__(self, retry_delay_ms: int, ttl_ms: int) -> None:
         self._retry_delay_ms = retry_delay_ms
         self._ttl_ms = ttl_ms
-        self._candidate_by_key: dict[IncarnationKey, Candidate] = {}
+        self._candidate_by_key: dict[
+            worker_calls.IncarnationKey, Candidate
+        ] = {}
 
     def add(self, info: worker_calls.WorkerInfo, now_ms: int) -> None:
         """Add a candidate, or refresh the one of the same incarnation."""
-        key = info.worker, info.boot
+        key = info.incarnation
         candidate = self._candidate_by_key.get(key)
         if candidate is None:
             if len(self._candidate_by_key) >= MAX_CANDIDATES:
@@ -91,7 +89,7 @@
         self, info: worker_calls.WorkerInfo, call_id: int, now_ms: int
     ) -> None:
         """Note the hold call by which a candidate is verified."""
-        candidate = self._candidate_by_key[info.worker, info.boot]
+        candidate = self._candidate_by_key[info.incarnation]
         candidate.call_id = call_id
         candidate.sent_ms = now_ms
 
--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
@@ -7,16 +7,18 @@
 they do not show yet.
 """
 
-import dataclasses
 import typing as t
 
 from mulberryloom_core import messages
 import structlog
 
 from . import crash_history
+from . import heartbeat_changes
+from . import pending_orders
 from . import progress_monitor
 from . import worker_calls
 from . import worker_candidates
+from .supervisor_options import WorkerSupervisorOptions
 
 #: A call to the worker.
 Call: t.TypeAlias = (
@@ -41,101 +43,6 @@
 _log = structlog.get_logger(__name__)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class WorkerSupervisorOptions:
-    """Timing of leases, calls and reports, in milliseconds.
-
-    :param lease_ms: duration of the lease that is requested; it equals the
-        longest lease that a worker grants.
-    :param renewal_window_ms: leases are renewed for this long after the
-        leader last confirmed its leadership.
-    :param worker_timeout_ms: leases are renewed for this long after the
-        last reply of the worker; longer than ``wait_ms`` and a slow reply.
-        The less, the sooner the runs of a lost worker start elsewhere.
-    :param margin_ms: safety margin for clock differences.
-    :param wait_ms: long-polling timeout of a hold call, within which the
-        worker replies as soon as a run ends.
-    :param poll_interval_ms: interval between hold calls while the leader
-        has not acknowledged all ended runs, and while the runs of the
-        worker stand still.
-    :param retry_delay_ms: delay before a call without a reply is repeated.
-    :param order_ttl_ms: time for which a start call may still reach a worker
-        that has restarted under its name; equals the leader's option.
-    :param report_interval_ms: interval between reports without changes.
-    :param suspension_ms: gap between two replies or rounds of calls from
-        which the agent counts as having been suspended.
-    :param resumption_ms: time after a suspension in which the worker may
-        reply before its lease counts as expired.
-    :param candidate_ttl_ms: time for which a worker that has sent a
-        heartbeat is asked whether it runs on this VM; longer than the
-        interval between heartbeats.
-    """
-
-    lease_ms: int = 6_000
-    renewal_window_ms: int = 3_000
-    worker_timeout_ms: int = 1_500
-    margin_ms: int = 300
-    wait_ms: int = 800
-    poll_interval_ms: int = 300
-    retry_delay_ms: int = 150
-    order_ttl_ms: int = 15_000
-    report_interval_ms: int = 900
-    suspension_ms: int = 1_000
-    resumption_ms: int = 400
-    candidate_ttl_ms: int = 3_000
-
-    @property
-    def lease_slack_ms(self) -> int:
-        """Time after which a lease that has ended is certainly over.
-
-        2 % of its duration, for slow worker clocks, and the margin.
-        """
-        return self.lease_ms // 50 + self.margin_ms
-
-
-@dataclasses.dataclass(slots=True)
-class _PendingOrder:
-    """A start or stop whose outcome is not known.
-
-    :param is_in_flight: whether a call has been sent and not returned.
-    :param next_attempt_ms: earliest time of the next call.
-    :param attempts: number of calls so far.
-    """
-
-    is_in_flight: bool = False
-    next_attempt_ms: int = 0
-    attempts: int = 0
-
-
-@dataclasses.dataclass(slots=True)
-class _PendingStop(_PendingOrder):
-    """A stop whose outcome is not known.
-
-    :param expires_ms: time from which no call can start the run any more.
-    :param spares_listed_run: whether the stop waits for the lists, and is
-        dropped if they show that the run was begun.
-    """
-
-    expires_ms: int = 0
-    spares_listed_run: bool = False
-
-
-@dataclasses.dataclass(slots=True)
-class _PendingStart(_PendingOrder):
-    """A start whose outcome is not known.
-
-    :param expires_ms: time after which it must not be sent any more.
-    :param unanswered_attempts: number of earlier calls without a reply,
-        which the worker may still carry out.
-    """
-
-    expires_ms: int = 0
-    unanswered_attempts: int = 0
-    start: messages.StartRun = dataclasses.field(
-        default_factory=lambda: messages.StartRun('', 0, '', '')
-    )
-
-
 class WorkerSupervisor:
     """Tracks one worker: its lease, its runs, pending starts and stops.
 
@@ -176,8 +83,12 @@
         #: Whether the lists were read from this incarnation of the worker
         #: under the leader that is followed.
         self._has_current_lists = False
-        self._pending_start_by_key: dict[RunKey, _PendingStart] = {}
-        self._pending_stop_by_key: dict[RunKey, _PendingStop] = {}
+        self._pending_start_by_key: dict[
+            RunKey, pending_orders.PendingStart
+        ] = {}
+        self._pending_stop_by_key: dict[
+            RunKey, pending_orders.PendingStop
+        ] = {}
         #: Latest time at which a start call that was sent may be carried out,
         #: by the run that it starts.
         self._start_ttl_end_ms_by_key: dict[RunKey, int] = {}
@@ -220,21 +131,23 @@
         once that worker has answered a call.
         """
         previous = self.info
-        if previous is None or _incarnation(info) != _incarnation(previous):
+        if previous is None or info.incarnation != previous.incarnation:
             self._candidates.add(info, now_ms)
             return
         if info.sequence <= previous.sequence:
             return
-        if _fixed_fields(info) != _fixed_fields(previous):
+        if heartbeat_changes.fixed_fields(
+            info
+        ) != heartbeat_changes.fixed_fields(previous):
             _log.warning(
                 'heartbeat of another writer ignored',
                 worker=info.worker,
                 boot=info.boot,
-                expected=_fixed_fields(previous),
-                received=_fixed_fields(info),
+                expected=heartbeat_changes.fixed_fields(previous),
+                received=heartbeat_changes.fixed_fields(info),
             )
             return
-        if _has_shrunk(info, previous):
+        if heartbeat_changes.has_shrunk(info, previous):
             self._on_shrunk(info, now_ms)
         if info.is_draining and not previous.is_draining:
             self._on_draining(info, now_ms)
@@ -243,9 +156,9 @@
             # that of an earlier incarnation.
             self._is_leaving = False
             self._has_left = False
-        if _without_volatile_fields(info) != _without_volatile_fields(
-            previous
-        ):
+        if heartbeat_changes.without_volatile_fields(
+            info
+        ) != heartbeat_changes.without_volatile_fields(previous):
             self._has_unreported_changes = True
         self.info = info
         self._heartbeat_ms = now_ms
@@ -282,7 +195,7 @@
         """
         if self.info is not None:
             self._crashes.end_incarnation(
-                *_incarnation(self.info),
+                *self.info.incarnation,
                 now_ms,
                 is_planned=self.info.is_draining or self._is_leaving,
             )
@@ -333,7 +246,7 @@
         """
         for key, end_ms in self._start_ttl_end_ms_by_key.items():
             if end_ms > now_ms:
-                self._pending_stop_by_key[key] = _PendingStop(
+                self._pending_stop_by_key[key] = pending_orders.PendingStop(
                     next_attempt_ms=now_ms, expires_ms=end_ms
                 )
 
@@ -389,7 +302,7 @@
         )
         if orders.speed_permille:
             self._speed_permille = orders.speed_permille
-        if (orders.worker, orders.boot) != _incarnation(self.info):
+        if (orders.worker, orders.boot) != self.info.incarnation:
             self._has_unreported_changes = True
             return
         is_superseded = orders.sequence <= self._orders_sequence
@@ -437,7 +350,7 @@
         if expires_ms <= now_ms:
             self._refuse_start(key, 'expired', now_ms)
             return
-        self._pending_start_by_key[key] = _PendingStart(
+        self._pending_start_by_key[key] = pending_orders.PendingStart(
             next_attempt_ms=now_ms, start=start, expires_ms=expires_ms
         )
 
@@ -456,7 +369,7 @@
         key = (run.task, run.run_number)
         self._pending_start_by_key.pop(key, None)
         pending = self._pending_stop_by_key.setdefault(
-            key, _PendingStop(next_attempt_ms=now_ms)
+            key, pending_orders.PendingStop(next_attempt_ms=now_ms)
         )
         pending.expires_ms = now_ms + self._options.order_ttl_ms
         pending.spares_listed_run = False
@@ -496,7 +409,7 @@
             return
         self._pending_stop_by_key.setdefault(
             key,
-            _PendingStop(
+            pending_orders.PendingStop(
                 next_attempt_ms=now_ms,
                 # The deadlines of all start calls lie within the lease.
                 expires_ms=max(
@@ -515,11 +428,7 @@
         reply: worker_calls.HoldReply,
         now_ms: int,
     ) -> None:
-        """Apply the reply to a hold call.
-
-        A reply that is older than an applied one is ignored, since replies
-        can arrive out of order.
-        """
+        """Apply the reply to a hold call."""
         self._detect_suspension(now_ms)
         candidate = self._candidates.on_reply(call, reply, now_ms)
         if candidate is not None:
@@ -542,10 +451,22 @@
             # The lists are those of another incarnation than the one that
             # sent the last heartbeat.
             self._hold_due_ms = now_ms + self._options.poll_interval_ms
-            return
-        if call.call_id < self._applied_hold_id:
-            return
-        self._applied_hold_id = call.call_id
+        elif call.call_id >= self._applied_hold_id:
+            # Replies can arrive out of order; older lists are ignored.
+            self._applied_hold_id = call.call_id
+            self._apply_lists(call, reply, sent_ms, now_ms)
+
+    def _apply_lists(
+        self,
+        call: worker_calls.HoldCall,
+        reply: worker_calls.HoldReply,
+        sent_ms: int,
+        now_ms: int,
+    ) -> None:
+        """Replace the lists of runs by those of a reply.
+
+        :param sent_ms: when the call was sent.
+        """
         for key, hold_id in list(self._confirming_hold_id_by_key.items()):
             if call.call_id >= hold_id:
                 del self._confirming_hold_id_by_key[key]
@@ -775,7 +696,7 @@
                 self._has_unreported_changes = True
 
     @staticmethod
-    def _mark_sent(pending: _PendingOrder) -> None:
+    def _mark_sent(pending: pending_orders.PendingOrder) -> None:
         pending.is_in_flight = True
         pending.attempts += 1
 
@@ -966,42 +887,6 @@
         )
 
 
-def _incarnation(
-    info: worker_calls.WorkerInfo,
-) -> worker_candidates.IncarnationKey:
-    return info.worker, info.boot
-
-
-def _fixed_fields(info: worker_calls.WorkerInfo) -> tuple[t.Any, ...]:
-    """Return the fields that stay the same while an incarnation lasts."""
-    return (
-        info.service,
-        info.address,
-        info.data_centre,
-        info.rack,
-        info.labels,
-    )
-
-
-def _has_shrunk(
-    info: worker_calls.WorkerInfo, previous: worker_calls.WorkerInfo
-) -> bool:
-    return (
-        info.cpu_millis < previous.cpu_millis
-        or info.memory_mb < previous.memory_mb
-        or info.accelerators < previous.accelerators
-    )
-
-
-def _without_volatile_fields(
-    info: worker_calls.WorkerInfo,
-) -> worker_calls.WorkerInfo:
-    """Clear the fields that change with every heartbeat."""
-    return dataclasses.replace(
-        info, sequence=0, remaining_ms=0, warmup_left_ms=0
-    )
-
-
 def _run_keys(
     running: t.Iterable[messages.RunningTask],
 ) -> set[RunKey]:
