Follow a worker's heartbeats again after a foreign one with a high number

What callers would see: one heartbeat of another writer under the worker's own name and start, with a number far ahead, and all later heartbeats of the worker count as late. It cannot drain any more, so that its end cuts its runs off, and its capacity stays what it was.

Cause: the highest number ever seen decided which heartbeats are late.

Fix: heartbeats with lower numbers that go on, in their order, for 2 s are those of the worker. Late ones arrive together, and are ignored as before.

Tests: two of the supervisor, of which the first failed before (the worker did not drain), and the second guards the order as it was.

--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
@@ -14,6 +14,7 @@
 
 from . import crash_history
 from . import heartbeat_changes
+from . import heartbeat_order
 from . import pending_orders
 from . import progress_monitor
 from . import worker_calls
@@ -59,6 +60,7 @@
         self._options = options
         self.info: worker_calls.WorkerInfo | None = None
         self._heartbeat_ms = now_ms
+        self._heartbeat_order = heartbeat_order.HeartbeatOrder(0)
         self.generation = 0
         self._orders_sequence = 0
         #: Speed of this VM as learned by the leaders, kept for later ones.
@@ -134,8 +136,6 @@
         if previous is None or info.incarnation != previous.incarnation:
             self._candidates.add(info, now_ms)
             return
-        if info.sequence <= previous.sequence:
-            return
         if heartbeat_changes.fixed_fields(
             info
         ) != heartbeat_changes.fixed_fields(previous):
@@ -147,6 +147,8 @@
                 received=heartbeat_changes.fixed_fields(info),
             )
             return
+        if not self._heartbeat_order.accept(info.sequence, now_ms):
+            return
         if heartbeat_changes.has_shrunk(info, previous):
             self._on_shrunk(info, now_ms)
         if info.is_draining and not previous.is_draining:
@@ -203,6 +205,7 @@
         # Replies to calls of before may come from an earlier incarnation.
         self._candidates.restart_calls()
         self.info = info
+        self._heartbeat_order = heartbeat_order.HeartbeatOrder(info.sequence)
         self._heartbeat_ms = received_ms
         self._has_unreported_changes = True
         self._last_reply_boot = 0
--- a/packages/mulberryloom-agent/tests/test_worker_supervisor.py
+++ b/packages/mulberryloom-agent/tests/test_worker_supervisor.py
@@ -429,6 +429,36 @@
     assert agent.supervisor.info.accelerators == 4
 
 
+# Guards against a worker whose heartbeats count as late for ever, since one of
+# another writer had a high number; it could not drain any more.
+def test_heartbeats_count_again_after_a_foreign_one_with_a_high_number():
+    agent = Agent()
+    agent.supervisor.on_heartbeat(_info(sequence=1 << 53), agent.now_ms)
+    for sequence in range(2, 6):
+        agent.now_ms += 1_500
+        agent.supervisor.on_heartbeat(
+            _info(sequence=sequence, is_draining=True), agent.now_ms
+        )
+    assert agent.supervisor.info.is_draining
+    assert agent.supervisor.info.sequence == 5
+
+
+# Guards against heartbeats that are applied in the wrong order: some were held
+# up, and arrive together after a later one.
+def test_late_heartbeats_are_ignored():
+    agent = Agent()
+    agent.supervisor.on_heartbeat(
+        _info(sequence=9, is_draining=True), agent.now_ms
+    )
+    for sequence in (5, 6, 7, 8, 6, 7, 8):
+        agent.now_ms += 400
+        agent.supervisor.on_heartbeat(_info(sequence=sequence), agent.now_ms)
+    assert agent.supervisor.info.is_draining
+    agent.now_ms += 1_500
+    agent.supervisor.on_heartbeat(_info(sequence=10), agent.now_ms)
+    assert not agent.supervisor.info.is_draining
+
+
 # Guards against lists of before a new leader, which count as read under it.
 def test_candidate_is_verified_anew_under_a_new_leader():
     agent = Agent()
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/world.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/world.py
@@ -422,7 +422,8 @@
     def send_foreign_heartbeat(self, agent: _Agent) -> None:
         """Deliver a heartbeat that another writer has sent.
 
-        It names another worker, another incarnation or another service.
+        It names another worker, incarnation or service, or has a number far
+        ahead of those of the worker.
         """
         info = agent.worker.info()
         changes = self.random.choice(
@@ -431,6 +432,7 @@
                 {'boot': info.boot + 1_000},
                 {'boot': info.boot - 1_000},
                 {'service': 'no-such-service', 'sequence': 1_000_000},
+                {'sequence': 1_000_000, 'is_draining': True},
             ]
         )
         if not agent.is_frozen:
