Give the processes of the whole-system fuzzing numeric addresses

Fix: the host is an IPv6 address that holds the name, so that the stand-in's addresses go through the same check as real ones. Nothing that the tests check is changed, nor any of the product's code.

--- a/packages/mulberryloom-standins/src/mulberryloom_standins/fuzz/processes.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/fuzz/processes.py
@@ -1,6 +1,7 @@
 """Entry and agent processes of whole-system fuzzing, by incarnation."""
 
 import dataclasses
+import ipaddress
 import random
 
 import mulberryloom_agent as agent
@@ -18,6 +19,7 @@
 SECRET = 'a secret for fuzzing only'
 CHECKPOINT_GRACE_MS = 10_000
 BALANCER_NOTICE_MS = 500
+_PADDING = b'\0'
 
 
 @dataclasses.dataclass(slots=True)
@@ -141,10 +143,14 @@
 
 
 def address_of(name: str) -> str:
-    """Return the simulated address of a process."""
-    return f'{name}:1'
+    """Return the simulated address of a process.
+
+    Its host is an IPv6 address that holds the name, of 16 bytes at most.
+    """
+    return f'{ipaddress.IPv6Address(name.encode().ljust(16, _PADDING))}:1'
 
 
 def name_at(address: str) -> str:
     """Return the name of the process at a simulated address."""
-    return address.rpartition(':')[0]
+    host = ipaddress.IPv6Address(address.rpartition(':')[0])
+    return host.packed.rstrip(_PADDING).decode()
