Log the sessions with agents at the entries

A session that an entry loses left only `messages dropped`, and only if a message was in flight, so a log did not tell when the agent was away, nor which worker's runs the leader kept meanwhile. `session with agent opened` and `session with agent lost` name the agent, and at the leader its worker, the incarnation and the number of runs that are tracked.

--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/entry.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/entry.py
@@ -281,19 +281,34 @@
             case effects.PeerConnected(peer):
                 self._on_connected(peer)
             case effects.PeerLost(peer):
-                self._peer_by_name.pop(peer.name, None)
-                self._agent_names.discard(peer.name)
+                self._on_lost(peer)
             case effects.Received(peer, message):
                 self._on_message(peer.name, message)
 
     def _on_connected(self, peer: identity.PeerId) -> None:
         if peer.role is identity.Role.AGENT:
             self._agent_names.add(peer.name)
+            self._log_session('session with agent opened', peer.name)
             if self._term is not None:
                 self._term.leader.on_session(peer.name)
         notice = self._notice(self._entry_addresses.texts())
         self._node.send(effects.Send(peer.role, peer.name, notice))
 
+    def _on_lost(self, peer: identity.PeerId) -> None:
+        self._peer_by_name.pop(peer.name, None)
+        if peer.role is identity.Role.AGENT:
+            self._agent_names.discard(peer.name)
+            self._log_session('session with agent lost', peer.name)
+
+    def _log_session(self, event: str, agent: str) -> None:
+        """Log a change of an agent's session.
+
+        :param event: text of the log line.
+        :param agent: peer name of the agent.
+        """
+        fields = self._term.leader.worker_fields(agent) if self._term else {}
+        _log.info(event, agent=agent, **fields)
+
     def _on_message(self, sender: str, message: messages.Message) -> None:
         match message:
             case messages.WorkerReport():
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -390,6 +390,19 @@
         if key is not None:
             self._link_by_key[key].reset_session(node)
 
+    def worker_fields(self, node: str) -> dict[str, t.Any]:
+        """Return the fields of a log line about an agent's worker.
+
+        :param node: peer name of the agent.
+        :return: the worker, its incarnation and its number of tracked runs;
+            empty if the agent has not reported.
+        """
+        key = self._key_by_node.get(node)
+        if key is None:
+            return {}
+        runs = self._link_by_key[key].capacity.run_by_key
+        return {'worker': key[0], 'boot': key[1], 'runs': len(runs)}
+
     def _discard_earlier_incarnations(
         self,
         link: fleet.WorkerLink,
--- a/packages/mulberryloom-entry/tests/test_job_entry.py
+++ b/packages/mulberryloom-entry/tests/test_job_entry.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from mulberryloom_core import clock as clocks
+from mulberryloom_core import effects
 from mulberryloom_core import identity
 from mulberryloom_core import messages
 from mulberryloom_core import store
@@ -14,6 +15,7 @@
 from mulberryloom_entry.jobs import registration
 from mulberryloom_standins.store import core as store_core
 import pytest
+import structlog
 
 
 class StandinStore:
@@ -210,3 +212,46 @@
         await job_entry.close()
 
     asyncio.run(scenario())
+
+
+def _report(worker):
+    return messages.WorkerReport(
+        *(worker, 7, 's', 'dc', 'r', [], 1_000, 1_000, 0, False, 0),
+        *(1, 0, 0, False, True, [], [], []),
+    )
+
+
+def _session_lines(lines):
+    return [line for line in lines if line['event'].startswith('session')]
+
+
+# Guards against a lost session that leaves no line, so that a log does not
+# tell whether the runs of its worker were given up while the agent was away.
+def test_sessions_with_agents_are_logged_with_their_workers():
+    async def scenario():
+        job_entry = _make_entry(StandinStore(), clocks.ManualClock())
+        agent = identity.PeerId(identity.Role.AGENT, 'vm-1.a', 1)
+        other = identity.PeerId(identity.Role.ENTRY, 'vm-2.e', 1)
+        with structlog.testing.capture_logs() as lines:
+            job_entry._on_event(effects.PeerConnected(agent))
+            await job_entry._try_to_lead()
+            job_entry._on_event(effects.Received(agent, _report('w')))
+            job_entry._on_event(effects.PeerLost(agent))
+            job_entry._on_event(effects.PeerLost(other))
+        await job_entry.close()
+        return _session_lines(lines)
+
+    opened, lost = asyncio.run(scenario())
+    assert opened == {
+        'event': 'session with agent opened',
+        'agent': 'vm-1.a',
+        'log_level': 'info',
+    }
+    assert lost == {
+        'event': 'session with agent lost',
+        'agent': 'vm-1.a',
+        'worker': 'w',
+        'boot': 7,
+        'runs': 0,
+        'log_level': 'info',
+    }
