Count the discarded runs by reason

No metric told how many runs the leader gives up, nor why: neither the silence of a worker, the end of its lease, another worker in its place nor a list without the run was counted. `runs_discarded_total` counts them by the reason of `run discarded`, without the job or the duration that it may name, since the first word alone is `worker` for most.

--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/run_table.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/run_table.py
@@ -23,7 +23,7 @@
 
     :param records: records of the jobs, which change with their runs.
     :param decision_log: receives what is decided on a run.
-    :param metrics: counts the runs that are stopped.
+    :param metrics: counts the runs that are stopped or discarded.
     :param link_by_key: the workers, owned by the leader.
     :param worker_speeds: forgets the runs that are stopped or lost.
     :ivar run_by_key: all runs, by task name and run number.
@@ -175,10 +175,16 @@
     def _discard_alone(self, run: ActiveRun, reason: str) -> bool:
         """Discard a run, not the other members of its gang.
 
+        :param reason: text for the log; what precedes `` for `` is the label
+            of the metric.
         :return: whether the run was still tracked.
         """
         if run.task.run != run.run:
             return False
+        # What follows names a job or a duration.
+        self._metrics.count(
+            'runs_discarded_total', reason.partition(' for ')[0]
+        )
         self.record_decision(
             'run discarded',
             run,
--- a/packages/mulberryloom-entry/tests/test_job_leader.py
+++ b/packages/mulberryloom-entry/tests/test_job_leader.py
@@ -1,6 +1,7 @@
 """Tests of the leader's core with a single agent."""
 
 from mulberryloom_core import messages
+from mulberryloom_core.process import process_metrics
 from mulberryloom_core.request import job_records
 from mulberryloom_core.request import jobs
 from mulberryloom_core import store
@@ -30,14 +31,15 @@
         self.write_count = 0
         self.stored_job = None
         options = leaders.LeaderOptions()
-        self.leader = leaders.Leader(GENERATION, options, 0)
+        self.metrics = process_metrics.ProcessMetrics()
+        self.leader = leaders.Leader(GENERATION, options, 0, self.metrics)
         self.leader.catalogue = CATALOGUE
         self.orders = []
 
     def report(self, *, running=(), sequence=0, node='vm.1', **fields):
         found = {'boot': 1, 'is_listed': True, 'is_alive': True, **fields}
         report = messages.WorkerReport(
-            'w',
+            found.get('worker', 'w'),
             found['boot'],
             's',
             'dc',
@@ -651,3 +653,51 @@
         harness.advance()
         started += harness.started_runs()
     assert started == []
+
+
+def _let_silent(harness):
+    harness.now_ms += 60_000
+    harness.leader.tick(harness.now_ms, harness.now_ms)
+
+
+def _let_lease_expire(harness):
+    harness.report(running=[1], sequence=1)
+    harness.report(is_alive=False, sequence=1)
+
+
+def _restart_worker(harness):
+    harness.report(boot=2)
+
+
+def _replace_worker(harness):
+    harness.report(worker='x', boot=2)
+
+
+def _list_without_run(harness):
+    harness.report(sequence=1 << 40)
+
+
+# Guards against causes of lost runs that cannot be told apart by the counts.
+@pytest.mark.parametrize(
+    ('lose', 'label'),
+    [
+        (_let_silent, 'no report'),
+        (_let_lease_expire, 'worker lease expired'),
+        (_restart_worker, 'worker restarted'),
+        (_replace_worker, 'replaced by another worker'),
+        (_list_without_run, 'worker does not list the run'),
+    ],
+)
+def test_discarded_runs_are_counted_by_reason(lose, label):
+    harness = _harness_with_running_job()
+    # Past the time for which the start may be in transit.
+    for _ in range(20):
+        harness.report(running=[1], sequence=1)
+        harness.now_ms += 1_000
+    lose(harness)
+    counts = [
+        line
+        for line in harness.metrics.text().splitlines()
+        if line.startswith('runs_discarded_total')
+    ]
+    assert counts == [f'runs_discarded_total{{kind="{label}"}} 1']
