Tell the last report of a worker whose runs are discarded

`run discarded` gave only the reason: whether the agent had just reported, or was silent, and which process of it was the last, had to be guessed from other lines. It has `agent` and `report_age_ms` now while the leader knows the worker, as `worker removed` has; `worker adopted` names the agent too, so that a worker can be followed to its VM.

--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/fleet.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/fleet.py
@@ -74,6 +74,16 @@
             return min(self.unrecorded_end_sequences) - 1
         return self.last_end_sequence
 
+    def report_fields(self, now_ms: int) -> dict[str, t.Any]:
+        """Return the fields of a log line about the last report.
+
+        :return: peer name of the agent, and age of its last report.
+        """
+        return {
+            'agent': self.node,
+            'report_age_ms': now_ms - self.reported_ms,
+        }
+
     def log_responsiveness(self) -> None:
         """Log whether the worker's runs stand still, when it has changed."""
         is_unresponsive = self.capacity.is_unresponsive
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -188,6 +188,7 @@
             default now.
         """
         self._decision_log.wall_ms = wall_ms
+        self._runs.now_ms = now_ms
         outcome = self._records.complete_batch(batch, reply)
         if outcome.is_deposed:
             self.is_deposed = True
@@ -301,6 +302,7 @@
         :param node: peer name of the agent.
         """
         self._decision_log.wall_ms = wall_ms
+        self._runs.now_ms = now_ms
         if not report.worker:
             return
         if report.crashed_runs:
@@ -325,6 +327,7 @@
                 'worker adopted',
                 worker=report.worker,
                 boot=report.boot,
+                agent=node,
                 running=len(report.running),
                 age_ms=now_ms - self._term_started_ms,
             )
@@ -550,7 +553,13 @@
         link = self._link_by_key.get(key)
         if link is None:
             return
-        _log.info('worker removed', worker=key[0], boot=key[1], reason=reason)
+        _log.info(
+            'worker removed',
+            worker=key[0],
+            boot=key[1],
+            reason=reason,
+            **link.report_fields(self._runs.now_ms),
+        )
         self._runs.discard_all_of(link, reason)
         del self._link_by_key[key]
         self._key_by_node.pop(link.node, None)
@@ -560,6 +569,7 @@
     def tick(self, now_ms: int, wall_ms: int) -> None:
         """Remove silent workers, orphaned runs and expired jobs."""
         self._decision_log.wall_ms = wall_ms
+        self._runs.now_ms = now_ms
         options = self._options
         for key, link in list(self._link_by_key.items()):
             if now_ms - link.reported_ms > options.worker_timeout_ms:
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/run_table.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/run_table.py
@@ -30,6 +30,7 @@
     :ivar orphans_by_worker: orphans, by the worker that may run them.
     :ivar has_changed: whether a run was removed since the last plan.
     :ivar planned_ms: time of the last plan.
+    :ivar now_ms: time of the last report, reply or tick; set by the leader.
     """
 
     def __init__(
@@ -54,6 +55,7 @@
         ] = {}
         self.has_changed = False
         self.planned_ms = now_ms
+        self.now_ms = now_ms
 
     def add_orphan(self, job: jobs.Job, task: jobs.Task, now_ms: int) -> None:
         """Track a run of an earlier leader until its worker reports."""
@@ -185,12 +187,9 @@
         self._metrics.count(
             'runs_discarded_total', reason.partition(' for ')[0]
         )
-        self.record_decision(
-            'run discarded',
-            run,
-            reason=reason,
-        )
         link = self._link_by_key.get(run.incarnation_key)
+        evidence = link.report_fields(self.now_ms) if link else {}
+        self.record_decision('run discarded', run, reason=reason, **evidence)
         self.remove(link, run)
         self._records.mark_dirty(run.job.job_id)
         return True
--- a/packages/mulberryloom-entry/tests/test_job_leader.py
+++ b/packages/mulberryloom-entry/tests/test_job_leader.py
@@ -10,6 +10,7 @@
 from mulberryloom_entry.jobs import leader as leaders
 from mulberryloom_entry.jobs import record_cache
 import pytest
+import structlog
 
 JOB_ID = 'a' * 16
 TASK = f'{JOB_ID}.0.0.0'
@@ -701,3 +702,43 @@
         if line.startswith('runs_discarded_total')
     ]
     assert counts == [f'runs_discarded_total{{kind="{label}"}} 1']
+
+
+# Guards against a discarded run of which the log does not tell whether its
+# agent was silent, or reported something else.
+@pytest.mark.parametrize(
+    ('lose', 'report_age_ms'),
+    [
+        (_let_silent, 60_000),
+        (_let_lease_expire, 0),
+        (_restart_worker, 700),
+        (_replace_worker, 700),
+    ],
+)
+def test_discarded_run_tells_the_age_of_the_last_report(lose, report_age_ms):
+    harness = _harness_with_running_job()
+    for _ in range(20):
+        harness.report(running=[1], sequence=1)
+        harness.now_ms += 1_000
+    harness.report(running=[1], sequence=1)
+    if lose is not _let_silent:
+        harness.now_ms += 700
+    lose(harness)
+    (found,) = [
+        decision
+        for decision in harness.leader.decisions_on(JOB_ID)
+        if decision['event'] == 'run discarded'
+    ]
+    assert found['report_age_ms'] == report_age_ms
+    assert found['agent'] == 'vm.1'
+
+
+# Guards against a log that does not tell which agent a worker is beside.
+def test_lines_about_a_worker_name_its_agent():
+    harness = LeaderHarness()
+    with structlog.testing.capture_logs() as lines:
+        harness.report(node='vm.2')
+        _let_silent(harness)
+    agent_by_event = {line['event']: line.get('agent') for line in lines}
+    assert agent_by_event['worker adopted'] == 'vm.2'
+    assert agent_by_event['worker removed'] == 'vm.2'
