Count the heartbeats at an agent by outcome

Agents logged odd heartbeats one by one and counted none, so that neither another writer at work nor a worker whose own heartbeats are all late or rejected showed in a metric.

--- a/packages/mulberryloom-agent/src/mulberryloom_agent/connection/job_loopback.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/connection/job_loopback.py
@@ -21,6 +21,9 @@
     def on_heartbeat(self, info: worker_calls.WorkerInfo) -> None:
         """Handle a heartbeat of a worker."""
 
+    def on_invalid_heartbeat(self) -> None:
+        """Handle a heartbeat that could not be read."""
+
     def on_leave(self, worker: str) -> None:
         """Handle a worker's announcement that it exits."""
 
@@ -67,6 +70,7 @@
             )
         heartbeat = http_worker_client.read_heartbeat(worker, request.body)
         if isinstance(heartbeat, Err):
+            self._listener.on_invalid_heartbeat()
             problems = heartbeat.err_value
             return _json(
                 400, {'title': 'malformed heartbeat', 'errors': problems}
--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/agent.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/agent.py
@@ -121,9 +121,14 @@
 
     def on_heartbeat(self, info: worker_calls.WorkerInfo) -> None:
         """Handle a heartbeat of the worker."""
-        self._supervisor.on_heartbeat(info, self._clock.now_ms())
+        outcome = self._supervisor.on_heartbeat(info, self._clock.now_ms())
+        self.process_metrics.count('heartbeats_total', outcome.value)
         self._wake.set()
 
+    def on_invalid_heartbeat(self) -> None:
+        """Count a heartbeat that could not be read."""
+        self.process_metrics.count('heartbeats_total', 'invalid')
+
     def on_leave(self, worker: str) -> None:
         """Handle the worker's announcement that it exits."""
         self._supervisor.on_leave(worker, self._clock.now_ms())
--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
@@ -7,6 +7,7 @@
 they do not show yet.
 """
 
+import enum
 import typing as t
 
 from mulberryloom_core import messages
@@ -44,6 +45,15 @@
 _log = structlog.get_logger(__name__)
 
 
+class HeartbeatOutcome(enum.Enum):
+    """What became of a heartbeat; the value is the label of the metric."""
+
+    ACCEPTED = 'accepted'
+    UNVERIFIED = 'unverified'
+    OTHER_WRITER = 'other-writer'
+    LATE = 'late'
+
+
 class WorkerSupervisor:
     """Tracks one worker: its lease, its runs, pending starts and stops.
 
@@ -126,7 +136,9 @@
 
     # Inputs
 
-    def on_heartbeat(self, info: worker_calls.WorkerInfo, now_ms: int) -> None:
+    def on_heartbeat(
+        self, info: worker_calls.WorkerInfo, now_ms: int
+    ) -> HeartbeatOutcome:
         """Apply a heartbeat.
 
         One of another incarnation than the present one takes effect only
@@ -135,7 +147,7 @@
         previous = self.info
         if previous is None or info.incarnation != previous.incarnation:
             self._candidates.add(info, now_ms)
-            return
+            return HeartbeatOutcome.UNVERIFIED
         if heartbeat_changes.fixed_fields(
             info
         ) != heartbeat_changes.fixed_fields(previous):
@@ -146,9 +158,9 @@
                 expected=heartbeat_changes.fixed_fields(previous),
                 received=heartbeat_changes.fixed_fields(info),
             )
-            return
+            return HeartbeatOutcome.OTHER_WRITER
         if not self._heartbeat_order.accept(info.sequence, now_ms):
-            return
+            return HeartbeatOutcome.LATE
         if heartbeat_changes.has_shrunk(info, previous):
             self._on_shrunk(info, now_ms)
         if info.is_draining and not previous.is_draining:
@@ -164,6 +176,7 @@
             self._has_unreported_changes = True
         self.info = info
         self._heartbeat_ms = now_ms
+        return HeartbeatOutcome.ACCEPTED
 
     def _on_draining(self, info: worker_calls.WorkerInfo, now_ms: int) -> None:
         _log.info(
--- a/packages/mulberryloom-agent/tests/test_http_worker_client.py
+++ b/packages/mulberryloom-agent/tests/test_http_worker_client.py
@@ -153,11 +153,15 @@
 
     def __init__(self):
         self.infos = []
+        self.invalid_count = 0
         self.left = []
 
     def on_heartbeat(self, info):
         self.infos.append(info)
 
+    def on_invalid_heartbeat(self):
+        self.invalid_count += 1
+
     def on_leave(self, worker):
         self.left.append(worker)
 
@@ -196,6 +200,7 @@
     listener = Listener()
     assert _respond(listener, method, path, body).status == status
     assert not listener.infos
+    assert listener.invalid_count == (status == 400)
 
 
 # Guards against an agent that waits for the reply to a call which its client
--- a/packages/mulberryloom-agent/tests/test_job_agent.py
+++ b/packages/mulberryloom-agent/tests/test_job_agent.py
@@ -29,11 +29,12 @@
         return []
 
 
-def _run_agent(scenario):
+def _run_agent(scenario, worker=None):
     """Run a scenario with an agent and the client of its worker."""
 
+    worker = worker or FailingWorker()
+
     async def run():
-        worker = FailingWorker()
         agent = agents.JobAgent.from_parts(
             'vm', (), b'secret', worker, Directory()
         )
@@ -86,3 +87,53 @@
         return worker.calls
 
     assert _run_agent(scenario) > 1
+
+
+def _info(sequence=1, **changes):
+    found = {'boot': 1, 'service': 's', **changes}
+    return worker_calls.WorkerInfo(
+        *('w', found['boot'], sequence, found['service']),
+        *('127.0.0.1:9', 'dc', 'r', (), 1_000, 1_000, 1, False, 0),
+    )
+
+
+class AnsweringWorker(FailingWorker):
+    """Client of a worker of the first incarnation."""
+
+    async def hold(self, call):
+        self.calls += 1
+        if self.calls > 1:
+            await asyncio.sleep(60)
+        return worker_calls.HoldReply(worker_calls.CallStatus.DONE, boot=1)
+
+
+# Guards against heartbeats of another writer, and a worker whose heartbeats
+# are rejected or late, of which no metric tells.
+def test_heartbeats_are_counted_by_outcome():
+    async def scenario(agent, worker):
+        agent._on_notice('e.1', _notice())
+        agent.on_heartbeat(_info())
+        async with asyncio.timeout(10):
+            while not worker.calls:
+                await asyncio.sleep(0.01)
+        agent.on_heartbeat(_info(sequence=2))
+        agent.on_heartbeat(_info(sequence=2))
+        agent.on_heartbeat(_info(boot=9))
+        agent.on_heartbeat(_info(sequence=3, service='x'))
+        agent.on_invalid_heartbeat()
+        return agent.metrics()
+
+    text = _run_agent(scenario, AnsweringWorker())
+    found = {
+        line for line in text.splitlines() if line.startswith('heartbeats')
+    }
+    assert found == {
+        f'heartbeats_total{{kind="{kind}"}} {count}'
+        for kind, count in {
+            'accepted': 1,
+            'late': 1,
+            'unverified': 2,
+            'other-writer': 1,
+            'invalid': 1,
+        }.items()
+    }
