Play the real programs beside faults and another writer's heartbeats

What callers saw: one task ran twice at a time (TWICE) on three deployments, as real processes. No test of ours ran the platform's programs beside another writer, lost links and stopped processes at the same time.

The soak starts three entries and any number of agents of the platform's adapter, with stand-ins of the store, the workers and the callers. Every connection between programs, and to the store, goes through a link that can be held in either direction, reset, silenced or slowed.

--- a/Makefile
+++ b/Makefile
@@ -10,8 +10,9 @@
 export PYTHONPATH := $(subst $(space),:,$(addprefix $(CURDIR)/,$(SOURCES)))
 DEPLOYMENT ?= akwaboa
 SEEDS ?= 200
+FIRST_SEED ?= 1
 
-.PHONY: setup format lint unit scenarios test demo fuzz fuzz-jobs bench-jobs-scale bench bench-policy \
+.PHONY: setup format lint unit scenarios test demo fuzz fuzz-jobs soak bench-jobs-scale bench bench-policy \
 	bench-scale capacity
 
 setup: $(VENV)/.ready
@@ -52,6 +53,12 @@
 fuzz: setup
 	$(BIN)/python -m mulberryloom_standins.fuzz --examples $(SEEDS)
 
+# Faults around the real programs; the logs of broken seeds stay in target/soak.
+soak: setup
+	cd platform/tests && $(CURDIR)/$(BIN)/python -m soak --seeds $(SEEDS) \
+		--first-seed $(FIRST_SEED) --parallel 3 \
+		--logs $(CURDIR)/target/soak
+
 fuzz-jobs: setup
 	$(BIN)/python -m mulberryloom_standins.jobs $(SEEDS)
 
