Ignore reports of an agent's earlier process

Cause: the leader took each report for the present state of the worker. The messages of a process that has ended can arrive after the first ones of its successor; one that says that the lease is over, or that names an earlier worker of the VM, made the leader discard runs that go on.

Fix: the leader knows the present process of each VM's agent by the order in which sessions were opened, or else by the first report, and ignores those before it while their session lasts. A new leader is given the open sessions in their order. When the session of the process taken for the present one ends, the others of its VM count again, so that no agent is ignored for good.

The tests of the entry and of the leader pass.

--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/entry.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/entry.py
@@ -133,7 +133,8 @@
             self.store, clock
         )
         self._peer_by_name: dict[str, _Peer] = {}
-        self._agent_names: set[str] = set()
+        #: Agents with a session, in the order in which it was opened.
+        self._agent_names: dict[str, None] = {}
         self._entry_addresses = entry_addresses.EntryAddresses(
             [*entry_identity.seeds, entry_identity.address]
         )
@@ -287,7 +288,8 @@
 
     def _on_connected(self, peer: identity.PeerId) -> None:
         if peer.role is identity.Role.AGENT:
-            self._agent_names.add(peer.name)
+            self._agent_names.pop(peer.name, None)
+            self._agent_names[peer.name] = None
             self._log_session('session with agent opened', peer.name)
             if self._term is not None:
                 self._term.leader.on_session(peer.name)
@@ -297,8 +299,10 @@
     def _on_lost(self, peer: identity.PeerId) -> None:
         self._peer_by_name.pop(peer.name, None)
         if peer.role is identity.Role.AGENT:
-            self._agent_names.discard(peer.name)
+            self._agent_names.pop(peer.name, None)
             self._log_session('session with agent lost', peer.name)
+            if self._term is not None:
+                self._term.leader.on_session_lost(peer.name)
 
     def _log_session(self, event: str, agent: str) -> None:
         """Log a change of an agent's session.
@@ -657,6 +661,8 @@
             return
         leader.catalogue = self.catalogue
         records, revision = snapshot
+        for name in self._agent_names:
+            leader.on_session(name)
         leader.apply_records(
             records, self._clock.now_ms(), self._clock.wall_ms()
         )
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -27,6 +27,7 @@
 from mulberryloom_policy.jobs import WorkerSpeeds
 import structlog
 
+from . import agent_processes
 from . import crash_attribution
 from . import decisions
 from . import evacuations
@@ -78,6 +79,7 @@
         self._decision_log = decisions.DecisionLog()
         self._link_by_key: dict[fleet.WorkerKey, fleet.WorkerLink] = {}
         self._key_by_node: dict[str, fleet.WorkerKey] = {}
+        self._agent_processes = agent_processes.AgentProcesses()
         self._runs = run_table.RunTable(
             self._records,
             self._decision_log,
@@ -305,6 +307,14 @@
         self._runs.now_ms = now_ms
         if not report.worker:
             return
+        if not self._agent_processes.is_present(node):
+            _log.warning(
+                'report of an earlier agent process ignored',
+                agent=node,
+                worker=report.worker,
+                boot=report.boot,
+            )
+            return
         if report.crashed_runs:
             for job in self._crashes.apply(node, report):
                 self._run_ends.end_job_if_final(job, wall_ms)
@@ -389,10 +399,18 @@
 
         :param node: peer name of the agent.
         """
+        self._agent_processes.on_session(node)
         key = self._key_by_node.get(node)
         if key is not None:
             self._link_by_key[key].reset_session(node)
 
+    def on_session_lost(self, node: str) -> None:
+        """Handle the end of a session with an agent.
+
+        :param node: peer name of the agent.
+        """
+        self._agent_processes.on_session_lost(node)
+
     def worker_fields(self, node: str) -> dict[str, t.Any]:
         """Return the fields of a log line about an agent's worker.
 
--- a/packages/mulberryloom-entry/tests/test_job_entry.py
+++ b/packages/mulberryloom-entry/tests/test_job_entry.py
@@ -255,3 +255,27 @@
         'runs': 0,
         'log_level': 'info',
     }
+
+
+# Guards against a new leader that takes a late report of an agent's earlier
+# process for the present one, since it does not know which came first.
+def test_new_leader_knows_the_order_of_the_sessions_before_it():
+    async def scenario():
+        job_entry = _make_entry(StandinStore(), clocks.ManualClock())
+        earlier, present = (
+            identity.PeerId(identity.Role.AGENT, name, 1)
+            for name in ('vm-1.a', 'vm-1.b')
+        )
+        job_entry._on_event(effects.PeerConnected(earlier))
+        job_entry._on_event(effects.PeerConnected(present))
+        await job_entry._try_to_lead()
+        with structlog.testing.capture_logs() as lines:
+            job_entry._on_event(effects.Received(earlier, _report('w')))
+            job_entry._on_event(effects.Received(present, _report('w')))
+        fields = job_entry._term.leader.worker_fields('vm-1.b')
+        await job_entry.close()
+        return [line['event'] for line in lines], fields
+
+    events, fields = asyncio.run(scenario())
+    assert events == ['report of an earlier agent process ignored']
+    assert fields['worker'] == 'w'
--- a/packages/mulberryloom-entry/tests/test_job_leader.py
+++ b/packages/mulberryloom-entry/tests/test_job_leader.py
@@ -476,6 +476,62 @@
         assert not harness.started_runs()
 
 
+# Guards against two runs of one task: an earlier process of the agent has
+# reported the end of a lease, which arrives after its successor's reports.
+def test_late_report_of_an_earlier_agent_process_ends_no_run():
+    harness = LeaderHarness()
+    harness.report(node='vm.1')
+    harness.advance()
+    earlier_sequence = harness.orders[0].sequence
+    harness.report(node='vm.2')
+    harness.submit()
+    harness.advance()
+    assert harness.started_runs() == [1]
+    sequence = harness.orders[0].sequence
+    harness.report(running=[1], sequence=sequence, node='vm.2')
+    harness.report(is_alive=False, sequence=earlier_sequence, node='vm.1')
+    for _ in range(4):
+        harness.report(running=[1], sequence=sequence, node='vm.2')
+        harness.advance()
+        assert (harness.started_runs(), harness.stopped_runs()) == ([], [])
+
+
+# Guards against two runs of one task: the clock of the VM was stepped back
+# before its worker and its agent restarted, and a report on the earlier worker
+# is the first that a new leader receives from the earlier agent process.
+def test_late_report_on_an_earlier_worker_ends_no_run():
+    harness = LeaderHarness()
+    harness.leader.on_session('vm.1')
+    harness.leader.on_session('vm.2')
+    harness.report(worker='x', boot=5, node='vm.2')
+    harness.submit()
+    harness.advance()
+    assert harness.started_runs() == [1]
+    sequence = harness.orders[0].sequence
+    running = {'worker': 'x', 'boot': 5, 'running': [1], 'sequence': sequence}
+    harness.report(**running, node='vm.2')
+    harness.report(worker='w', boot=9, node='vm.1')
+    for _ in range(4):
+        harness.report(**running, node='vm.2')
+        harness.advance()
+        assert (harness.started_runs(), harness.stopped_runs()) == ([], [])
+
+
+# Guards against an agent whose reports are ignored for good, since an earlier
+# process of it was the last that the leader came to know.
+def test_agent_counts_again_once_the_session_of_its_earlier_process_ends():
+    harness = LeaderHarness()
+    harness.report(node='vm.2')
+    harness.report(node='vm.1')
+    harness.leader.on_session_lost('vm.1')
+    harness.report(node='vm.2')
+    harness.submit()
+    harness.advance()
+    assert harness.started_runs() == [1]
+    (link,) = harness.leader._link_by_key.values()
+    assert link.node == 'vm.2'
+
+
 def test_warm_up_of_worker_is_kept_on_the_clock_of_the_planner():
     """The end must outlast the warm-up: runs begun before it end later."""
     harness = LeaderHarness()
