Ignore reports of a worker from an agent on another VM

Cause: the leader let any agent speak for a worker that it knows.

Why the fix works: an incarnation of a worker stays on its VM, and so does its agent, whose name tells the VM. The report of another one is ignored and logged.

The test failed before, with a stop of the run that goes on.

--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -15,6 +15,7 @@
 
 import typing as t
 
+from mulberryloom_core import identity
 from mulberryloom_core import messages
 from mulberryloom_core.process import process_metrics
 from mulberryloom_core.request import jobs
@@ -315,6 +316,16 @@
                 boot=report.boot,
             )
             return
+        known = self._link_by_key.get((report.worker, report.boot))
+        if known is not None and known.vm != identity.vm_of(node):
+            _log.warning(
+                'report of a worker on another VM ignored',
+                agent=node,
+                worker=report.worker,
+                boot=report.boot,
+                vm=known.vm,
+            )
+            return
         if report.crashed_runs:
             for job in self._crashes.apply(node, report):
                 self._run_ends.end_job_if_final(job, wall_ms)
--- a/packages/mulberryloom-entry/tests/test_job_leader.py
+++ b/packages/mulberryloom-entry/tests/test_job_leader.py
@@ -476,6 +476,18 @@
         assert not harness.started_runs()
 
 
+# Guards against two runs of one task: another agent that takes this worker for
+# its own says that its lease is over.
+def test_report_from_another_vm_ends_no_run_of_a_worker():
+    harness = _harness_with_running_job()
+    sequence = harness.revision
+    for _ in range(4):
+        harness.report(running=[1], sequence=sequence)
+        harness.report(is_alive=False, sequence=sequence, node='other.1')
+        harness.advance()
+        assert (harness.started_runs(), harness.stopped_runs()) == ([], [])
+
+
 # Guards against two runs of one task: an earlier process of the agent has
 # reported the end of a lease, which arrives after its successor's reports.
 def test_late_report_of_an_earlier_agent_process_ends_no_run():
