Take the answer of a worker's successor as the end of the worker

What callers could see: a task that does not start anywhere while its worker has crashed and restarted under its id, and two runs of one task once that worker's heartbeats reach its agent again.

Cause: a worker that has restarted under its id and whose heartbeats are refused answers calls with another start. The agent ignored its lists, but counted the answers as signs of life of the earlier incarnation: it renewed the lease, reported it as alive and sent further starts, which the successor carried out unseen. When the heartbeat came, the leader discarded runs whose order was older than 15 s although the same report listed them, and started their tasks again beside them.

Why the fix works: with the answer of a successor no start is sent and no lease is renewed, so that the earlier incarnation counts as gone when its lease is over. The leader moves a run that the new incarnation lists to it, whatever its age, and stops it before the task can start again.

All three tests failed before: a start was sent, the worker was reported alive after 8 s, and run 2 was started beside run 1.

--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
@@ -459,19 +459,27 @@
         if reply.status is not worker_calls.CallStatus.DONE:
             self._on_hold_failed(call, reply, now_ms)
             return
+        self._last_reply_boot = reply.boot or self.info.boot
+        if self._last_reply_boot != self.info.boot:
+            self._on_successor_reply(now_ms)
+            return
         self._last_reply_ms = now_ms
         if reply.clock_ms:
             self._clock_offset_ms = reply.clock_ms - now_ms
-        self._last_reply_boot = reply.boot or self.info.boot
-        if self._last_reply_boot != self.info.boot:
-            # The lists are those of another incarnation than the one that
-            # sent the last heartbeat.
-            self._hold_due_ms = now_ms + self._options.poll_interval_ms
-        elif call.call_id >= self._applied_hold_id:
+        if call.call_id >= self._applied_hold_id:
             # Replies can arrive out of order; older lists are ignored.
             self._applied_hold_id = call.call_id
             self._apply_lists(call, reply, sent_ms, now_ms)
 
+    def _on_successor_reply(self, now_ms: int) -> None:
+        """Handle a reply of a later incarnation that sent no heartbeat yet.
+
+        The present one has ended. Without the clock offset, no lease is
+        renewed and no start is sent until its successor is known.
+        """
+        self._clock_offset_ms = None
+        self._hold_due_ms = now_ms + self._options.poll_interval_ms
+
     def _apply_lists(
         self,
         call: worker_calls.HoldCall,
--- a/packages/mulberryloom-agent/tests/test_worker_supervisor.py
+++ b/packages/mulberryloom-agent/tests/test_worker_supervisor.py
@@ -1062,3 +1062,33 @@
     agent.replace_worker(_info(boot=2))
     (run,) = agent.supervisor.take_report(agent.now_ms).crashed_runs
     assert run.age_ms == 900
+
+
+def _answer_as_successor(agent):
+    """Answer the due hold calls as a later start of the same worker."""
+    for hold in agent.calls():
+        agent.supervisor.on_hold_reply(
+            hold, _hold_reply(agent.now_ms, boot=2), agent.now_ms
+        )
+
+
+# Guards against runs of a restarted worker that are started where no report
+# lists them, while its own heartbeats do not reach the agent.
+def test_no_start_is_sent_to_a_successor_without_a_heartbeat():
+    agent = Agent()
+    _answer_as_successor(agent)
+    agent.order(starts=[messages.StartRun('t', 1, '', '')])
+    assert not agent.calls(worker_calls.StartCall)
+
+
+# Guards against a crashed worker that counts as alive for as long as its
+# successor answers the calls, so that its tasks start nowhere else.
+def test_worker_is_reported_gone_while_only_its_successor_answers():
+    agent = Agent()
+    reports = []
+    for _ in range(80):
+        agent.now_ms += 100
+        agent.order()
+        _answer_as_successor(agent)
+        reports.append(agent.supervisor.take_report(agent.now_ms))
+    assert not [r for r in reports if r is not None][-1].is_alive
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/fleet.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/fleet.py
@@ -265,3 +265,12 @@
     link = WorkerLink(capacity, node, now_ms)
     capacity.vm = link.vm
     return link
+
+
+def listed_runs(report: messages.WorkerReport) -> set[RunKey]:
+    """Return the runs that a report names as running, ended or starting."""
+    return {
+        (item.task, item.run_number)
+        for items in (report.running, report.ended, report.starting)
+        for item in items
+    }
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -395,7 +395,9 @@
             link.capacity.run_by_key.update(
                 self._runs.orphans_by_worker.pop(key, {})
             )
-            self._discard_earlier_incarnations(link, previous_key, now_ms)
+            self._discard_earlier_incarnations(
+                link, report, previous_key, now_ms
+            )
             link.capacity.recompute_free()
         elif link.node != node:
             self._key_by_node.pop(link.node, None)
@@ -438,6 +440,7 @@
     def _discard_earlier_incarnations(
         self,
         link: fleet.WorkerLink,
+        report: messages.WorkerReport,
         previous_key: fleet.WorkerKey | None,
         now_ms: int,
     ) -> None:
@@ -445,13 +448,16 @@
 
         A VM runs one worker at a time. A restarted worker may keep its id,
         so that a start in transit may reach the new incarnation. Such a
-        run is moved there and stopped before its task can start again.
+        run, and one that the new incarnation lists, is moved there and
+        stopped before its task can start again.
 
+        :param report: first report on the new incarnation.
         :param previous_key: incarnation that the same agent process reported
             before. It is an earlier one, even if the time of day has stepped
             back since its start.
         """
         worker, boot = link.key
+        listed = fleet.listed_runs(report)
         earlier_keys = [
             key
             for key, vm in self._runs.vm_by_worker().items()
@@ -465,7 +471,9 @@
                 else self._runs.orphans_by_worker[key]
             )
             for run in list(runs.values()):
-                if key[0] == worker and self._is_start_in_transit(run, now_ms):
+                if key[0] == worker and (
+                    run.key in listed or self._is_start_in_transit(run, now_ms)
+                ):
                     del runs[run.key]
                     run.incarnation_key = link.key
                     run.is_stopping = True
@@ -562,9 +570,7 @@
         """
         if report.is_partial:
             return
-        listed = {(item.task, item.run_number) for item in report.running}
-        listed |= {(item.task, item.run_number) for item in report.ended}
-        listed |= {(item.task, item.run_number) for item in report.starting}
+        listed = fleet.listed_runs(report)
         for key, run in list(link.capacity.run_by_key.items()):
             if key in listed or not run.is_recorded:
                 continue
--- a/packages/mulberryloom-entry/tests/test_job_leader.py
+++ b/packages/mulberryloom-entry/tests/test_job_leader.py
@@ -488,6 +488,18 @@
         assert (harness.started_runs(), harness.stopped_runs()) == ([], [])
 
 
+# Guards against two runs of one task: a restarted worker runs it by an order
+# that was sent long before its agent came to know of the restart.
+def test_run_that_a_restarted_worker_lists_is_stopped_before_it_starts_again():
+    harness = _harness_with_running_job()
+    for _ in range(17):
+        harness.now_ms += 1_000
+        harness.report(running=[1], sequence=harness.revision)
+    harness.report(boot=2, running=[1])
+    harness.advance()
+    assert (harness.started_runs(), harness.stopped_runs()) == ([], [1])
+
+
 # Guards against two runs of one task: an earlier process of the agent has
 # reported the end of a lease, which arrives after its successor's reports.
 def test_late_report_of_an_earlier_agent_process_ends_no_run():
