Let the simulation hold, reorder and carry over messages

New events: links that hold reports or orders for as long as a session outlives it, and are cut for longer; reports of an agent's earlier process that arrive after those of the next one; heartbeats that an agent refuses, also over its restart. Three of ten workers have a clock that is 2 % slow. Seeds with fewer event kinds play as before.

--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/__main__.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/__main__.py
@@ -13,11 +13,18 @@
 from . import trials
 
 
-def run(count: int = 100, *, first: int | None = None) -> None:
+def run(
+    count: int = 100,
+    *,
+    first: int | None = None,
+    late_calls_at_successors: bool = False,
+) -> None:
     """Run trials and print each seed that violated an invariant.
 
     :param count: number of seeds.
     :param first: first seed; a random one by default.
+    :param late_calls_at_successors: whether calls that are executed late
+        reach a later incarnation of the same worker.
     """
     level = logging.CRITICAL
     structlog.configure(
@@ -27,7 +34,9 @@
     failed = 0
     for seed in range(begin, begin + count):
         try:
-            trials.run_trial(seed)
+            trials.run_trial(
+                seed, has_late_calls_at_successors=late_calls_at_successors
+            )
         except oracle.Violation as violation:
             failed += 1
             print(f'seed {seed}: {violation}')
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/trials.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/trials.py
@@ -10,19 +10,27 @@
 FAULT_PHASE_MS = 30_000
 RECOVERY_PHASE_MS = 60_000
 _MAX_EVENT_INTERVAL_MS = 1_500
+#: Longest time for which a link holds messages, or heartbeats are refused.
+_MAX_HOLD_MS = 14_000
 #: Number of kinds of events. The last ones end the ongoing faults.
-EVENT_KINDS = 24
+EVENT_KINDS = 29
 #: Number of kinds from which on trials have evacuations.
 _EVACUATION_EVENT_KINDS = 20
 #: The same for crashes of workers.
 _CRASH_EVENT_KINDS = 22
 #: The same for workers that list few ends at a time.
 _PARTIAL_LIST_EVENT_KINDS = 24
+#: The same for slow clocks of workers.
+_SLOW_CLOCK_EVENT_KINDS = 29
 _RECOVERY_EVENT_KINDS = 2
 
 
 def run_trial(
-    seed: int, event_kinds: int = EVENT_KINDS, *, is_following: bool = True
+    seed: int,
+    event_kinds: int = EVENT_KINDS,
+    *,
+    is_following: bool = True,
+    has_late_calls_at_successors: bool = False,
 ) -> worlds.World:
     """Run the trial of one seed.
 
@@ -30,6 +38,8 @@
         failed when there were fewer kinds is reproduced only with that
         number.
     :param is_following: whether leaders follow evacuations.
+    :param has_late_calls_at_successors: whether calls that are executed late
+        reach a later incarnation of the same worker.
     :raises oracle.Violation: when an invariant is violated.
     """
     world = worlds.World(
@@ -44,6 +54,10 @@
             ends_per_reply=(
                 2 if event_kinds >= _PARTIAL_LIST_EVENT_KINDS else 500
             ),
+            slow_clock_share=(
+                0.3 if event_kinds >= _SLOW_CLOCK_EVENT_KINDS else 0.0
+            ),
+            has_late_calls_at_successors=has_late_calls_at_successors,
         ),
         is_following=(is_following and event_kinds >= _EVACUATION_EVENT_KINDS),
     )
@@ -145,6 +159,17 @@
             world.resize_worker(agent)
         case 21:
             world.send_foreign_heartbeat(agent)
+        case 22:
+            world.hold_reports(agent, rng.randrange(200, _MAX_HOLD_MS))
+        case 23:
+            world.hold_orders(agent, rng.randrange(200, _MAX_HOLD_MS))
+        case 24:
+            world.overtake_reports(agent, is_vm_restarted=rng.random() < 0.5)
+        case 25:
+            world.refuse_heartbeats(agent, rng.randrange(500, _MAX_HOLD_MS))
+        case 26:
+            world.refuse_heartbeats(agent, rng.randrange(500, _MAX_HOLD_MS))
+            world.restart_agent(agent)
 
 
 def _change_evacuation(world: worlds.World, data_centre: str) -> None:
@@ -176,6 +201,9 @@
     for agent in world.agents:
         agent.is_partitioned = False
         agent.is_frozen = False
+        agent.orders_held_until_ms = 0
+        agent.reports_held_until_ms = 0
+        agent.heartbeats_refused_until_ms = 0
         agent.worker.is_stuck = False
         agent.worker.is_shedding = False
         agent.worker.is_failing_every_run = False
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/worker.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/worker.py
@@ -11,6 +11,7 @@
 #: widely from the estimate that the job declares.
 WorkLookup: t.TypeAlias = t.Callable[[str], 'Work']
 _PERCENT = 100
+_PERMILLE = 1_000
 #: Capacity of a worker that has not shrunk.
 FULL_CPU_MILLIS = 16_000
 FULL_ACCELERATORS = 8
@@ -65,6 +66,8 @@
         time, positive if it is ahead.
     :param lease_limit_ms: longest lease that the worker accepts, from now.
     :param ends_per_reply: most ends that it lists at a time.
+    :param slowness_permille: how much slower than the simulated time its
+        clock runs.
     :ivar is_failing_every_run: whether every run fails as soon as it works.
     :ivar is_stuck: whether runs make no progress.
     :ivar is_shedding: whether it refuses a part of the orders as unhealthy.
@@ -81,6 +84,7 @@
         lease_limit_ms: int = 6_000,
         data_centre: str = 'dc',
         ends_per_reply: int = 500,
+        slowness_permille: int = 0,
     ) -> None:
         self.worker = worker
         self.boot = boot
@@ -103,6 +107,7 @@
         self.lapsed_end_sequences: set[int] = set()
         self._work_of = work_of
         self._clock_offset_ms = clock_offset_ms
+        self._slowness_permille = slowness_permille
         self._lease_limit_ms = lease_limit_ms
         self._lease_end_ms = 0
         self._generation = 0
@@ -139,7 +144,8 @@
 
     def clock_ms(self, now_ms: int) -> int:
         """Return the time on the worker's clock."""
-        return now_ms + self._clock_offset_ms
+        behind_ms = now_ms * self._slowness_permille // _PERMILLE
+        return now_ms - behind_ms + self._clock_offset_ms
 
     def info(self) -> worker_calls.WorkerInfo:
         """Return the content of the next heartbeat."""
--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/world.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/world.py
@@ -13,6 +13,8 @@
 
 from mulberryloom_agent.jobs import worker_calls
 from mulberryloom_agent.jobs import worker_supervisor
+from mulberryloom_core.connection import node as nodes
+from mulberryloom_core.connection import options as session_options
 from mulberryloom_core import messages
 from mulberryloom_core.request import job_records
 from mulberryloom_core.request import jobs
@@ -33,6 +35,15 @@
 #: Pause before evacuations are read again after a failed read.
 _EVACUATION_RETRY_MS = 200
 _START_ORDER_VALID_MS = 1_500
+#: Rate by which slow clocks of workers lag.
+_SLOWNESS_PERMILLE = 20
+_SESSIONS = session_options.LEASE_OPTIONS
+#: Longest time for which a link can hold messages that are then delivered,
+#: by the options of the sessions and the interval of their checks: a peer
+#: closes a connection that is silent for longer, and ends a session that is
+#: without a connection for too long.
+_CONNECTION_HOLD_MS = _SESSIONS.silence_timeout_ms + nodes.TICK_MS
+_SESSION_HOLD_MS = _CONNECTION_HOLD_MS + _SESSIONS.session_timeout_ms
 #: Times from the start of a task to the crash of its worker, and from the
 #: crash to the first heartbeat of the next worker.
 _CRASH_DELAY_MS = 20
@@ -56,6 +67,9 @@
         them.
     :param ends_per_reply: most ended runs that a worker lists at a time; a
         number, not a probability.
+    :param slow_clock_share: workers whose clock runs 2 % slow.
+    :param has_late_calls_at_successors: whether calls that are executed late
+        reach a later incarnation of the same id; not a probability.
     """
 
     lost_reply_share: float = 0.0
@@ -64,6 +78,8 @@
     failing_task_share: float = 0.0
     crashing_task_share: float = 0.0
     ends_per_reply: int = 500
+    slow_clock_share: float = 0.0
+    has_late_calls_at_successors: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -83,6 +99,10 @@
     :ivar orders_due_ms: delivery time of the last orders sent to it; later
         ones arrive no earlier.
     :ivar report_due_ms: the same for reports that it sent.
+    :ivar orders_held_until_ms: time until which its link holds orders.
+    :ivar reports_held_until_ms: the same for its reports.
+    :ivar heartbeats_refused_until_ms: time until which the process refuses
+        the worker's heartbeats.
     """
 
     node: str
@@ -97,6 +117,9 @@
     has_session: bool = True
     orders_due_ms: int = 0
     report_due_ms: int = 0
+    orders_held_until_ms: int = 0
+    reports_held_until_ms: int = 0
+    heartbeats_refused_until_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -194,6 +217,7 @@
             self.random.randrange(100_000),
             data_centre=f'd{index // 2}',
             ends_per_reply=self.faults.ends_per_reply,
+            slowness_permille=self._draw_slowness(),
         )
         supervisor = worker_supervisor.WorkerSupervisor(
             worker_supervisor.WorkerSupervisorOptions(), self.now_ms
@@ -202,6 +226,11 @@
             f'n{index}.{next(self._name_numbers)}', supervisor, worker
         )
 
+    def _draw_slowness(self) -> int:
+        share = self.faults.slow_clock_share
+        is_slow = share > 0 and self.random.random() < share
+        return _SLOWNESS_PERMILLE if is_slow else 0
+
     def _work_of(self, task: str) -> workers.Work:
         return self._work_by_task[task]
 
@@ -337,6 +366,63 @@
         agent.leader = None
         self._announce_leader(agent, self.entry)
 
+    def hold_reports(self, agent: _Agent, duration_ms: int) -> None:
+        """Let the link of an agent hold its reports, then deliver them.
+
+        If that takes too long for the session, they are lost with it.
+        """
+        if duration_ms <= _SESSION_HOLD_MS:
+            agent.reports_held_until_ms = self.now_ms + duration_ms
+        else:
+            self._cut_for(agent, duration_ms)
+
+    def hold_orders(self, agent: _Agent, duration_ms: int) -> None:
+        """Let the link of an agent hold its orders, then deliver them.
+
+        If that takes too long for the session, they are lost with it.
+        """
+        if duration_ms <= _SESSION_HOLD_MS:
+            agent.orders_held_until_ms = self.now_ms + duration_ms
+        else:
+            self._cut_for(agent, duration_ms)
+
+    def _cut_for(self, agent: _Agent, duration_ms: int) -> None:
+        def restore() -> None:
+            agent.is_partitioned = False
+
+        agent.is_partitioned = True
+        self._after(duration_ms, restore)
+
+    def overtake_reports(
+        self, agent: _Agent, *, is_vm_restarted: bool
+    ) -> None:
+        """Hold the reports of an agent that soon restarts.
+
+        Those of its next process arrive over another connection, and may
+        overtake them.
+
+        :param is_vm_restarted: whether the worker restarts too, under
+            another id.
+        """
+        self.hold_reports(agent, _CONNECTION_HOLD_MS)
+        node = agent.node
+
+        def restart() -> None:
+            if agent.node != node:
+                return
+            agent.reports_held_until_ms = 0
+            agent.report_due_ms = 0
+            if is_vm_restarted:
+                self.replace_worker(agent)
+            else:
+                self.restart_agent(agent)
+
+        self._after(self.random.randrange(100, 1_000), restart)
+
+    def refuse_heartbeats(self, agent: _Agent, duration_ms: int) -> None:
+        """Let an agent refuse the heartbeats of its worker for a while."""
+        agent.heartbeats_refused_until_ms = self.now_ms + duration_ms
+
     def restart_worker(self, agent: _Agent) -> None:
         """Crash a worker; its next incarnation registers a little later."""
         agent.worker.run_by_task.clear()
@@ -349,6 +435,7 @@
             self.random.randrange(100_000),
             data_centre=old.data_centre,
             ends_per_reply=self.faults.ends_per_reply,
+            slowness_permille=self._draw_slowness(),
         )
         agent.heartbeat_due_ms = self.now_ms + self.random.randrange(
             100, 1_000
@@ -540,7 +627,8 @@
             return
         if agent.is_worker_up and self.now_ms >= agent.heartbeat_due_ms:
             agent.heartbeat_due_ms = self.now_ms + 1_500
-            agent.supervisor.on_heartbeat(agent.worker.info(), self.now_ms)
+            if self.now_ms >= agent.heartbeats_refused_until_ms:
+                agent.supervisor.on_heartbeat(agent.worker.info(), self.now_ms)
         for call in agent.supervisor.due_calls(self.now_ms):
             self._send_call(agent, call)
         if agent.leader is None:
@@ -563,16 +651,20 @@
                         handle()
 
                 delay_ms = self.random.randrange(1, 30)
-                due_ms = max(agent.report_due_ms, self.now_ms + delay_ms)
+                due_ms = max(
+                    agent.report_due_ms,
+                    agent.reports_held_until_ms,
+                    self.now_ms + delay_ms,
+                )
                 agent.report_due_ms = due_ms
                 self._after(due_ms - self.now_ms, deliver)
 
     def _send_call(self, agent: _Agent, call: worker_supervisor.Call) -> None:
-        supervisor, worker = agent.supervisor, agent.worker
+        supervisor, called_worker = agent.supervisor, agent.worker
         if isinstance(call, worker_calls.HoldCall):
             # An agent acknowledges ends only to an incarnation that has
             # answered it before.
-            if agent.connected_boot != worker.boot:
+            if agent.connected_boot != called_worker.boot:
                 call = dataclasses.replace(call, observed=0)
 
         def deliver_reply(reply: t.Any) -> None:
@@ -594,6 +686,9 @@
                 deliver_reply(worker_calls.CallReply(status))
 
         def execute(*, is_late: bool = False) -> t.Any:
+            worker = called_worker
+            if is_late and self._is_successor(agent.worker, worker):
+                worker = agent.worker
             if worker is not agent.worker or not agent.is_worker_up:
                 return None
             if self._is_shed(worker, call):
@@ -643,6 +738,15 @@
         else:
             self._after(self.random.randrange(1, 20), execute_and_reply)
 
+    def _is_successor(
+        self, worker: workers.WorkerStandIn, earlier: workers.WorkerStandIn
+    ) -> bool:
+        """Whether late calls to an earlier worker reach this one."""
+        return (
+            self.faults.has_late_calls_at_successors
+            and worker.worker == earlier.worker
+        )
+
     def _is_call_reply_lost(self) -> bool:
         share = self.faults.lost_call_reply_share
         return share > 0 and self.random.random() < share
@@ -690,7 +794,11 @@
         """Deliver orders in the order of sending, as a session does."""
         supervisor = agent.supervisor
         delay_ms = self.random.randrange(1, 30)
-        due_ms = max(agent.orders_due_ms, self.now_ms + delay_ms)
+        due_ms = max(
+            agent.orders_due_ms,
+            agent.orders_held_until_ms,
+            self.now_ms + delay_ms,
+        )
         agent.orders_due_ms = due_ms
 
         def deliver() -> None:
