Do not take one foreign or two late heartbeats for the worker's order

What callers could see: a worker that drains got starts until it ended, and their runs were lost (DRAIN). After a foreign heartbeat with a high number that came twice, all of the worker's own counted as late for ever; and two late heartbeats, 2 s apart, made a draining worker ready.

Cause: the repeat of the high number was kept as the last of the lower numbers, so that no later one was above it; and two lower numbers were evidence enough that the worker goes on, which two old messages are too.

Evidence: found by a reviewer who played both orders of heartbeats at the supervisor. Both new tests failed before.

Fix: a number equal to the last accepted or the last lower one is ignored, a lower one begins the series anew, and a series counts from three rising numbers over 2 s. A foreign writer whose high numbers rise at every heartbeat still ends each series.

--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/heartbeat_order.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/heartbeat_order.py
@@ -1,8 +1,42 @@
 """Order of the heartbeats of one incarnation of a worker."""
 
-#: Time for which heartbeats with lower numbers keep coming until they count:
-#: longer than late ones arrive after each other.
-RESUME_AFTER_MS = 2_000
+#: Number of heartbeats in their order that show that a worker goes on: more
+#: than two late ones, which may be of any age.
+MIN_SERIES_LENGTH = 3
+#: Time over which they must come: longer than late ones arrive after each
+#: other.
+MIN_SERIES_MS = 2_000
+
+
+class HeartbeatSeries:
+    """Heartbeats that do not count yet, with rising numbers."""
+
+    __slots__ = ('_last', '_length', '_since_ms')
+
+    def __init__(self) -> None:
+        self._last = 0
+        self._length = 0
+        self._since_ms = 0
+
+    def add(self, sequence: int, now_ms: int) -> bool:
+        """Add a heartbeat; one with a lower number begins a new series.
+
+        :return: whether the sender goes on.
+        """
+        if self._length and sequence == self._last:
+            return False
+        if not self._length or sequence < self._last:
+            self._length = 0
+            self._since_ms = now_ms
+        self._last = sequence
+        self._length += 1
+        return (
+            self._length >= MIN_SERIES_LENGTH
+            and now_ms - self._since_ms >= MIN_SERIES_MS
+        )
+
+    def clear(self) -> None:
+        self._length = 0
 
 
 class HeartbeatOrder:
@@ -15,25 +49,18 @@
     :param sequence: number of the first heartbeat.
     """
 
-    __slots__ = ('_last', '_last_lower', '_lower_since_ms')
+    __slots__ = ('_last', '_lower')
 
     def __init__(self, sequence: int) -> None:
         self._last = sequence
-        self._last_lower = 0
-        self._lower_since_ms: int | None = None
+        self._lower = HeartbeatSeries()
 
     def accept(self, sequence: int, now_ms: int) -> bool:
         """Return whether a heartbeat follows those that were accepted."""
-        if sequence <= self._last and not self._has_resumed(sequence, now_ms):
+        if sequence == self._last:
+            return False
+        if sequence < self._last and not self._lower.add(sequence, now_ms):
             return False
         self._last = sequence
-        self._lower_since_ms = None
+        self._lower.clear()
         return True
-
-    def _has_resumed(self, sequence: int, now_ms: int) -> bool:
-        if self._lower_since_ms is None:
-            self._lower_since_ms = now_ms
-        elif sequence <= self._last_lower:
-            return False
-        self._last_lower = sequence
-        return now_ms - self._lower_since_ms >= RESUME_AFTER_MS
--- a/packages/mulberryloom-agent/tests/test_worker_supervisor.py
+++ b/packages/mulberryloom-agent/tests/test_worker_supervisor.py
@@ -443,6 +443,40 @@
     assert agent.supervisor.info.sequence == 5
 
 
+# Guards against a worker whose heartbeats count as late for ever, since a
+# foreign one with a high number came twice.
+def test_repeated_high_number_does_not_hide_the_heartbeats_that_go_on():
+    agent = Agent()
+    foreign = _info(sequence=1 << 53)
+    agent.supervisor.on_heartbeat(foreign, agent.now_ms)
+    agent.now_ms += 1_500
+    agent.supervisor.on_heartbeat(_info(sequence=2), agent.now_ms)
+    outcome = agent.supervisor.on_heartbeat(foreign, agent.now_ms)
+    assert outcome is worker_supervisor.HeartbeatOutcome.LATE
+    for sequence in (3, 4):
+        agent.now_ms += 1_500
+        agent.supervisor.on_heartbeat(
+            _info(sequence=sequence, is_draining=True), agent.now_ms
+        )
+    assert agent.supervisor.info.is_draining
+
+
+# Guards against a draining worker that counts as ready again by two old
+# heartbeats, which were held up for different times.
+def test_two_late_heartbeats_do_not_count_as_a_worker_that_goes_on():
+    agent = Agent()
+    agent.supervisor.on_heartbeat(
+        _info(sequence=101, is_draining=True), agent.now_ms
+    )
+    for sequence in (90, 91):
+        outcome = agent.supervisor.on_heartbeat(
+            _info(sequence=sequence), agent.now_ms
+        )
+        assert outcome is worker_supervisor.HeartbeatOutcome.LATE
+        agent.now_ms += 2_100
+    assert agent.supervisor.info.is_draining
+
+
 # Guards against heartbeats that are applied in the wrong order: some were held
 # up, and arrive together after a later one.
 def test_late_heartbeats_are_ignored():
