Take the fixed fields of a worker from the heartbeats that go on

What callers could see: after a restart of an agent or a worker, a worker that got no work of its service and was planned with capacity that it lacks (ROUTE, LIMIT, idle capacity), until it ended.

Cause: an answer proves a worker's id and start alone, but all fields of the heartbeat that waited for it were adopted. If it was of another writer and had a high number, the worker's own did not displace it before the answer, and were ignored as another writer's after it.

Four of the five new tests failed before; the other one guards against a fix that goes too far: it fails if the answers of the worker are not asked for.

Fix: a candidate keeps its heartbeats by their fixed fields; the most heard of are adopted, the latest on a tie. If three or more with others come in their order over 2 s, none with the adopted ones between, and the worker answers, they are its own. Lists, leases, runs and orders are kept, as the incarnation is the same; if it has shrunk by that, starts are abandoned as for every other shrinking. The leader took over no service, data centre, rack or labels for a known incarnation, and does.

--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_candidates.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_candidates.py
@@ -6,34 +6,92 @@
 """
 
 import dataclasses
+import typing as t
 
 import structlog
 
+from . import heartbeat_changes
 from . import worker_calls
 
 #: Limit of the candidates; the one that was added first is dropped first.
 MAX_CANDIDATES = 8
+#: Limit of the descriptions of a candidate; the one of which fewest heartbeats
+#: came is dropped first.
+MAX_DESCRIPTIONS = 4
 
 _log = structlog.get_logger(__name__)
 
 
+@dataclasses.dataclass(slots=True)
+class Description:
+    """Heartbeats of one incarnation with the same fixed fields.
+
+    :param info: the latest one.
+    :param received_ms: when that was received.
+    :param count: how many came, each later than the one before.
+    """
+
+    info: worker_calls.WorkerInfo
+    received_ms: int
+    count: int = 1
+
+
 @dataclasses.dataclass(slots=True)
 class Candidate:
     """An incarnation that has not answered a call.
 
-    :param info: its latest heartbeat.
-    :param received_ms: when that was received.
+    :param description_by_fields: its heartbeats by their fixed fields, the
+        latest heard of last.
     :param call_id: hold call that is open; ``0`` for none.
     :param sent_ms: when the last such call was sent.
     :param next_attempt_ms: earliest time of the next call.
     """
 
-    info: worker_calls.WorkerInfo
-    received_ms: int
+    description_by_fields: dict[tuple[t.Any, ...], Description] = (
+        dataclasses.field(default_factory=dict)
+    )
     call_id: int = 0
     sent_ms: int = 0
     next_attempt_ms: int = 0
 
+    def add(self, info: worker_calls.WorkerInfo, now_ms: int) -> None:
+        """Add a heartbeat, unless a later one with its fields has come."""
+        fields = heartbeat_changes.fixed_fields(info)
+        by_fields = self.description_by_fields
+        description = by_fields.get(fields)
+        if description is None:
+            if len(by_fields) >= MAX_DESCRIPTIONS:
+                del by_fields[min(by_fields, key=lambda f: by_fields[f].count)]
+            by_fields[fields] = Description(info, now_ms)
+        elif info.sequence > description.info.sequence:
+            del by_fields[fields]
+            by_fields[fields] = Description(
+                info, now_ms, description.count + 1
+            )
+
+    @property
+    def _likeliest(self) -> Description:
+        """Most heard of description, as an answer confirms none of them."""
+        latest_first = reversed(self.description_by_fields.values())
+        return max(latest_first, key=lambda found: found.count)
+
+    @property
+    def info(self) -> worker_calls.WorkerInfo:
+        """Latest heartbeat of the likeliest description."""
+        return self._likeliest.info
+
+    @property
+    def received_ms(self) -> int:
+        """When that was received."""
+        return self._likeliest.received_ms
+
+    @property
+    def last_heard_ms(self) -> int:
+        """When the last heartbeat of any description was received."""
+        return max(
+            found.received_ms for found in self.description_by_fields.values()
+        )
+
 
 class WorkerCandidates:
     """The candidates that are neither confirmed nor ruled out.
@@ -59,16 +117,14 @@
         if candidate is None:
             if len(self._candidate_by_key) >= MAX_CANDIDATES:
                 del self._candidate_by_key[next(iter(self._candidate_by_key))]
-            self._candidate_by_key[key] = Candidate(info, now_ms)
+            candidate = self._candidate_by_key[key] = Candidate()
             _log.info(
                 'worker to be verified',
                 worker=info.worker,
                 boot=info.boot,
                 service=info.service,
             )
-        elif info.sequence > candidate.info.sequence:
-            candidate.info = info
-            candidate.received_ms = now_ms
+        candidate.add(info, now_ms)
 
     def list_due(self, now_ms: int) -> list[worker_calls.WorkerInfo]:
         """Return the candidates that are to be called now.
@@ -76,7 +132,7 @@
         :meth:`mark_called` must follow for each of them.
         """
         for key, candidate in list(self._candidate_by_key.items()):
-            if now_ms - candidate.received_ms >= self._ttl_ms:
+            if now_ms - candidate.last_heard_ms >= self._ttl_ms:
                 del self._candidate_by_key[key]
                 _log_ruled_out(candidate, 'no answer')
         return [
--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
@@ -71,6 +71,7 @@
         self.info: worker_calls.WorkerInfo | None = None
         self._heartbeat_ms = now_ms
         self._heartbeat_order = heartbeat_order.HeartbeatOrder(0)
+        self._other_descriptions = heartbeat_changes.OtherDescriptions()
         self.generation = 0
         self._orders_sequence = 0
         #: Speed of this VM as learned by the leaders, kept for later ones.
@@ -151,16 +152,16 @@
         if heartbeat_changes.fixed_fields(
             info
         ) != heartbeat_changes.fixed_fields(previous):
-            _log.warning(
-                'heartbeat of another writer ignored',
-                worker=info.worker,
-                boot=info.boot,
-                expected=heartbeat_changes.fixed_fields(previous),
-                received=heartbeat_changes.fixed_fields(info),
+            if not self._is_own_description(info, now_ms):
+                return HeartbeatOutcome.OTHER_WRITER
+            self._heartbeat_order = heartbeat_order.HeartbeatOrder(
+                info.sequence
             )
-            return HeartbeatOutcome.OTHER_WRITER
-        if not self._heartbeat_order.accept(info.sequence, now_ms):
-            return HeartbeatOutcome.LATE
+        else:
+            if info.sequence != previous.sequence:
+                self._other_descriptions.clear()
+            if not self._heartbeat_order.accept(info.sequence, now_ms):
+                return HeartbeatOutcome.LATE
         if heartbeat_changes.has_shrunk(info, previous):
             self._on_shrunk(info, now_ms)
         if info.is_draining and not previous.is_draining:
@@ -178,6 +179,33 @@
         self._heartbeat_ms = now_ms
         return HeartbeatOutcome.ACCEPTED
 
+    def _is_own_description(
+        self, info: worker_calls.WorkerInfo, now_ms: int
+    ) -> bool:
+        """Whether other fixed fields than those adopted are the worker's.
+
+        One that does not answer may be frozen, so that only the heartbeats
+        of other writers come.
+        """
+        assert self.info is not None
+        is_own = False
+        if self._is_worker_responsive(now_ms):
+            is_own = self._other_descriptions.add(info, now_ms)
+        else:
+            self._other_descriptions.clear()
+        _log.warning(
+            'worker described anew'
+            if is_own
+            else 'heartbeat of another writer ignored',
+            worker=info.worker,
+            boot=info.boot,
+            expected=heartbeat_changes.fixed_fields(self.info),
+            received=heartbeat_changes.fixed_fields(info),
+        )
+        if is_own:
+            self._other_descriptions.clear()
+        return is_own
+
     def _on_draining(self, info: worker_calls.WorkerInfo, now_ms: int) -> None:
         _log.info(
             'worker draining',
@@ -219,6 +247,7 @@
         self._candidates.restart_calls()
         self.info = info
         self._heartbeat_order = heartbeat_order.HeartbeatOrder(info.sequence)
+        self._other_descriptions.clear()
         self._heartbeat_ms = received_ms
         self._has_unreported_changes = True
         self._last_reply_boot = 0
--- a/packages/mulberryloom-agent/tests/test_worker_supervisor.py
+++ b/packages/mulberryloom-agent/tests/test_worker_supervisor.py
@@ -443,6 +443,91 @@
     assert agent.supervisor.info.sequence == 5
 
 
+# Guards against a worker that gets no work of its service, since a foreign
+# heartbeat with its id and start came before its answer.
+def test_description_of_a_candidate_is_the_one_whose_heartbeats_go_on():
+    agent = Agent()
+    foreign = _info(boot=2, sequence=1 << 40, service='x', accelerators=64)
+    agent.supervisor.on_heartbeat(foreign, agent.now_ms)
+    agent.replace_worker(_info(boot=2, sequence=7))
+    assert agent.supervisor.info.service == 's'
+    agent.supervisor.on_heartbeat(_info(boot=3), agent.now_ms)
+    agent.supervisor.on_heartbeat(_info(boot=3, sequence=2), agent.now_ms)
+    agent.replace_worker(_info(boot=3, sequence=1 << 40, service='x'))
+    report = agent.supervisor.take_report(agent.now_ms)
+    assert (report.boot, report.service) == (3, 's')
+
+
+def _agent_with_foreign_description():
+    """Return an agent whose worker runs a task and was described falsely."""
+    agent = Agent()
+    agent.outlive_calls_of_earlier_process()
+    agent.replace_worker(
+        _info(boot=2, sequence=1 << 40, service='x', accelerators=64),
+        running=[1],
+    )
+    agent.supervisor.take_report(agent.now_ms)
+    return agent
+
+
+def _answer_holds(agent):
+    for hold in agent.calls():
+        agent.supervisor.on_hold_reply(
+            hold, _hold_reply(agent.now_ms, [1], boot=2), agent.now_ms
+        )
+
+
+# Guards against a worker whose heartbeats are ignored until it ends, since its
+# first one was of another writer.
+def test_description_whose_heartbeats_go_on_is_adopted_with_all_runs():
+    agent = _agent_with_foreign_description()
+    for sequence in (7, 8, 9):
+        agent.now_ms += 1_300
+        _answer_holds(agent)
+        agent.supervisor.take_report(agent.now_ms)
+        lease_end_ms = agent.supervisor._lease_end_ms
+        agent.supervisor.on_heartbeat(
+            _info(boot=2, sequence=sequence), agent.now_ms
+        )
+    report = agent.supervisor.take_report(agent.now_ms)
+    assert (report.boot, report.service) == (2, 's')
+    assert report.accelerators == 8
+    assert (report.is_listed, report.is_alive) == (True, True)
+    assert [item.run_number for item in report.running] == [1]
+    assert agent.supervisor._lease_end_ms == lease_end_ms
+    agent.now_ms += 1_300
+    _answer_holds(agent)
+    agent.supervisor.on_heartbeat(
+        _info(boot=2, sequence=10, is_draining=True), agent.now_ms
+    )
+    assert agent.supervisor.info.is_draining
+
+
+# Guards against another writer that describes a worker anew between the
+# worker's own heartbeats, or while the worker is frozen.
+def test_foreign_description_is_ignored_beside_own_or_without_answers():
+    agent = Agent()
+    for sequence in range(2, 20):
+        for offset, service in enumerate(('x', 'x', 's')):
+            agent.now_ms += 500
+            agent.hold()
+            number = 1_000 + 10 * sequence + offset
+            agent.supervisor.on_heartbeat(
+                _info(
+                    sequence=sequence if service == 's' else number,
+                    service=service,
+                ),
+                agent.now_ms,
+            )
+            assert agent.supervisor.info.service == 's'
+    for sequence in range(2_000, 2_010):
+        agent.now_ms += 2_500
+        agent.supervisor.on_heartbeat(
+            _info(sequence=sequence, service='x'), agent.now_ms
+        )
+    assert agent.supervisor.info.service == 's'
+
+
 # Guards against a worker whose heartbeats count as late for ever, since a
 # foreign one with a high number came twice.
 def test_repeated_high_number_does_not_hide_the_heartbeats_that_go_on():
--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/fleet.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/fleet.py
@@ -156,14 +156,21 @@
         ]
 
     def update(self, report: messages.WorkerReport, now_ms: int) -> bool:
-        """Apply the worker's capacity and state from a report.
+        """Apply the worker's description, capacity and state from a report.
+
+        The agent may have learned the description of the same incarnation
+        from another writer at first.
 
         :return: whether either has changed.
         """
         capacity = self.capacity
         self.reported_ms = now_ms
         self.echo_ms = report.sent_ms
-        before = _capacity_and_state(capacity)
+        before = _reported_state(capacity)
+        capacity.service = report.service
+        capacity.data_centre = report.data_centre
+        capacity.rack = report.rack
+        capacity.labels = frozenset(report.labels)
         capacity.cpu_millis = report.cpu_millis
         capacity.memory_mb = report.memory_mb
         capacity.accelerators = report.accelerators
@@ -172,7 +179,7 @@
         capacity.is_draining = report.is_draining
         capacity.is_accepting = report.is_alive and not report.is_draining
         capacity.set_warmup_left(report.warmup_left_ms, now_ms)
-        return _capacity_and_state(capacity) != before
+        return _reported_state(capacity) != before
 
     def take_orders(
         self,
@@ -221,11 +228,13 @@
         )
 
 
-def _capacity_and_state(
-    capacity: WorkerCapacity,
-) -> tuple[int, int, int, bool, bool]:
-    """Return a worker's resources and whether it accepts work."""
+def _reported_state(capacity: WorkerCapacity) -> tuple[t.Any, ...]:
+    """Return what reports say of a worker, apart from its warm-up."""
     return (
+        capacity.service,
+        capacity.data_centre,
+        capacity.rack,
+        capacity.labels,
         capacity.cpu_millis,
         capacity.memory_mb,
         capacity.accelerators,
--- a/packages/mulberryloom-entry/tests/test_job_leader.py
+++ b/packages/mulberryloom-entry/tests/test_job_leader.py
@@ -42,10 +42,10 @@
         report = messages.WorkerReport(
             found.get('worker', 'w'),
             found['boot'],
-            's',
-            'dc',
-            'r',
-            ['a', 'r'],
+            found.get('service', 's'),
+            found.get('data_centre', 'dc'),
+            found.get('rack', 'r'),
+            found.get('labels', ['a', 'r']),
             found.get('cpu_millis', 16_000),
             16_000,
             found.get('accelerators', 8),
@@ -127,6 +127,32 @@
     return harness
 
 
+# Guards against a worker that gets no work, since its agent had described it
+# by a heartbeat of another writer at first.
+def test_worker_that_is_described_anew_gets_the_work_of_its_service():
+    harness = LeaderHarness()
+    harness.report(service='x', data_centre='y', rack='z', labels=['b'])
+    harness.advance()
+    harness.submit(label='a')
+    harness.advance()
+    assert harness.started_runs() == []
+    harness.report()
+    harness.advance()
+    assert harness.started_runs() == [1]
+
+
+# Guards against runs that are given up, since their worker is described anew.
+def test_runs_of_a_worker_that_is_described_anew_go_on():
+    harness = _harness_with_running_job()
+    harness.report(running=[1], sequence=99)
+    harness.report(running=[1], sequence=99, service='x', rack='z')
+    harness.advance()
+    assert (harness.started_runs(), harness.stopped_runs()) == ([], [])
+    (worker,) = harness.leader._link_by_key.values()
+    assert (worker.capacity.service, worker.capacity.rack) == ('x', 'z')
+    assert len(worker.capacity.run_by_key) == 1
+
+
 def test_leader_sends_start_only_after_its_record_is_stored():
     harness = LeaderHarness()
     harness.report()
