Acknowledge ends only over the worker's own connection

What callers could see: a task that is started again after its run has ended `done`. The worker's end of the run counts as taken note of, and no leader has seen it.

Cause: both clients sent `observed` whenever some hold connection was idle, on the assumption that such a connection had returned lists of the incarnation that is meant. A call that is rejected with 421, as those to candidates are, or with 429, 503 or 409 leaves an idle connection too, which may be one to a restarted worker. That one numbers its ends anew and forgets them unseen.

Fix: a hold call names the incarnation that it is meant for. The transport keeps for each of its hold connections the incarnation that its last reply named, if that was a successful one, and sends `observed` only over a connection of the incarnation that is meant; the check is made on the connection that carries the call. Such a connection ends with its process, so the number cannot reach a later one by it. A call takes the connection of its own incarnation first and an unused one next, so that calls to candidates do not keep a worker from being sent its acknowledgements.

--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/http_worker_client.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/http_worker_client.py
@@ -60,7 +60,7 @@
 
     def __init__(self, address: identity.Address) -> None:
         self._http = worker_transport.WorkerTransport(
-            address, WORKER_HEADER, _status
+            address, WORKER_HEADER, 'boot_ms', _status
         )
 
     async def close(self) -> None:
@@ -71,19 +71,14 @@
         self, call: worker_calls.HoldCall
     ) -> worker_calls.HoldReply:
         """Renew the lease and read the lists of runs."""
-        # A restarted worker numbers its ended runs from the start, so the
-        # number may be sent only over a connection that was used before.
-        observed = call.observed if self._http.has_open_hold_connection else 0
         status, document = await self._http.send_hold(
             HOLD_PATH,
-            call.worker,
+            call,
             {
                 'generation': call.generation,
                 'deadline_ms': call.deadline_ms,
-                'observed': observed,
                 'wait_ms': call.wait_ms,
             },
-            call.wait_ms,
         )
         if status is not worker_calls.CallStatus.DONE:
             return worker_calls.HoldReply(status)
--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_calls.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_calls.py
@@ -55,11 +55,13 @@
     :param deadline_ms: end of the lease on the worker's clock; ``0`` to
         leave the lease unchanged.
     :param observed: number up to which the worker may forget ended runs.
-        It may be sent only over a connection on which such a call was
-        answered before, since a restarted worker numbers its ended runs
-        from the start.
+        It is sent only over a connection whose last reply came from the
+        incarnation ``boot``, since a restarted worker numbers its ended
+        runs from the start.
     :param wait_ms: long-polling timeout; the worker replies earlier when a
         run ends.
+    :param boot: start of the incarnation whose ended runs ``observed``
+        counts; ``0`` if unknown.
     """
 
     call_id: int
@@ -68,6 +70,7 @@
     deadline_ms: int
     observed: int
     wait_ms: int
+    boot: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
@@ -792,6 +792,7 @@
             deadline_ms,
             self._acknowledgement_to_send(),
             0 if is_immediate else self._options.wait_ms,
+            self.info.boot,
         )
 
     def _make_verification_call(
--- a/packages/mulberryloom-agent/tests/test_http_worker_client.py
+++ b/packages/mulberryloom-agent/tests/test_http_worker_client.py
@@ -59,7 +59,7 @@
 
 
 def _hold(observed=0):
-    return worker_calls.HoldCall(1, 'w', 3, 900, observed, 0)
+    return worker_calls.HoldCall(1, 'w', 3, 900, observed, 0, boot=5)
 
 
 def test_start_and_stop_carry_run_and_generation():
@@ -101,6 +101,34 @@
     assert [fields['observed'] for _, fields in requests] == [0, 4]
 
 
+# Guards against ends of a restarted worker that are forgotten unseen: the
+# number of the earlier incarnation went out over any open connection.
+@pytest.mark.parametrize(
+    ('code', 'body'),
+    [
+        (421, {'status': 'other-boot'}),
+        (200, {'status': 'fenced'}),
+        (429, {'status': 'unhealthy'}),
+        (503, {'status': 'unhealthy'}),
+        (
+            200,
+            {
+                'status': 'done',
+                'clock_ms': 7,
+                'boot_ms': 6,
+                'running': [],
+                'ended': [],
+            },
+        ),
+    ],
+)
+def test_reply_of_no_or_another_incarnation_allows_no_acknowledgement(
+    code, body
+):
+    _, requests = asyncio.run(_call_with(code, body, _hold(), _hold(4)))
+    assert [fields['observed'] for _, fields in requests] == [0, 0]
+
+
 @pytest.mark.parametrize(
     ('code', 'body', 'expected'),
     [
--- a/packages/mulberryloom-agent/tests/test_worker_supervisor.py
+++ b/packages/mulberryloom-agent/tests/test_worker_supervisor.py
@@ -630,7 +630,7 @@
     agent = Agent()
     agent.order(observed=7)
     (hold,) = agent.calls()
-    assert hold.observed == 7
+    assert (hold.observed, hold.boot) == (7, 1)
     agent.supervisor.on_hold_reply(
         hold, _hold_reply(agent.now_ms, boot=2), agent.now_ms
     )
