Acknowledge ends only until the worker has forgotten them

What callers could see: a task that is started again after its run has ended `done`, since a restarted worker has forgotten the end before a leader saw it.

Cause: every hold call repeated the highest acknowledged number. A call without a response may be carried out seconds later, then by a worker that has restarted under the same id and numbers its ends anew.

Fix: once lists that a worker returned to a call with the number lack all acknowledged ends, later calls carry 0 until the leader acknowledges further ends. If the lists still name such an end, or are partial and may lack one, the number is sent again; so it is after a call without a reply. A late call that carries a number the worker needs cannot be ruled out, but the calls between acknowledgements carry none.

test_forgotten_ends_are_not_acknowledged_again and test_ends_are_acknowledged_until_the_worker_forgets_them failed before; test_unanswered_acknowledgement_is_repeated passed before and guards the other side of the rule.

--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_supervisor.py
@@ -81,6 +81,8 @@
         self._leader_confirmed_ms = now_ms - options.renewal_window_ms
         #: Number of the last ended run that the leader has recorded.
         self._acknowledged_sequence = 0
+        #: Number up to which the worker has forgotten its ended runs.
+        self._forgotten_sequence = 0
         #: Start of the incarnation that replied to the last hold call.
         self._last_reply_boot = 0
         self._candidates = worker_candidates.WorkerCandidates(
@@ -270,6 +272,7 @@
         self._is_leaving = False
         self._has_left = False
         self._acknowledged_sequence = 0
+        self._forgotten_sequence = 0
         self._pending_start_by_key.clear()
         self._pending_stop_by_key.clear()
         if is_restarted:
@@ -554,12 +557,29 @@
             now_ms,
             is_partial=reply.is_partial,
         )
+        self._note_forgotten_ends(call)
         self._resolve_listed_starts()
         if self._has_unacknowledged_ends() or is_standing_still:
             self._hold_due_ms = now_ms + self._options.poll_interval_ms
         else:
             self._hold_due_ms = now_ms
 
+    def _note_forgotten_ends(self, call: worker_calls.HoldCall) -> None:
+        """Note whether the worker has forgotten the acknowledged ends.
+
+        :param call: the call that returned the present lists.
+        """
+        has_acknowledged_ends = any(
+            end.sequence <= self._acknowledged_sequence for end in self._ended
+        )
+        if has_acknowledged_ends or self._is_partial:
+            # Partial lists may lack ends that the worker keeps.
+            self._forgotten_sequence = 0
+        else:
+            self._forgotten_sequence = max(
+                self._forgotten_sequence, call.observed
+            )
+
     def _on_hold_failed(
         self,
         call: worker_calls.HoldCall,
@@ -809,11 +829,15 @@
         """Return the number up to which the worker may forget ended runs.
 
         Each incarnation of a worker numbers its ended runs from the start,
-        so a new one must not be sent a number of an earlier one.
+        so a new one must not be sent a number of an earlier one. A call may
+        be carried out late, by a restarted worker, so a number is sent only
+        until the worker has forgotten those ends.
         """
         assert self.info is not None
         if self._last_reply_boot != self.info.boot:
             return 0
+        if self._forgotten_sequence >= self._acknowledged_sequence:
+            return 0
         return self._acknowledged_sequence
 
     def _can_renew(self, now_ms: int) -> bool:
--- a/packages/mulberryloom-agent/tests/test_worker_supervisor.py
+++ b/packages/mulberryloom-agent/tests/test_worker_supervisor.py
@@ -1,5 +1,7 @@
 """Tests of the agent's worker state: orders, replies and leases."""
 
+import dataclasses
+
 from mulberryloom_agent.jobs import crash_history
 from mulberryloom_agent.jobs import worker_calls
 from mulberryloom_agent.jobs import worker_candidates
@@ -639,6 +641,60 @@
     assert hold.observed == 0
 
 
+def _answer_hold(agent, ended=(), is_partial=False):
+    """Answer the due hold call.
+
+    :return: the number up to which the call acknowledges ends.
+    """
+    agent.now_ms += 500
+    (hold,) = agent.calls()
+    reply = dataclasses.replace(
+        _hold_reply(agent.now_ms, ended=ended), is_partial=is_partial
+    )
+    agent.supervisor.on_hold_reply(hold, reply, agent.now_ms)
+    return hold.observed
+
+
+def _end(sequence):
+    return messages.EndedTask(sequence, f'job.0.0.{sequence}', 1, 'done', '')
+
+
+# Guards against ends of a restarted worker that are forgotten unseen: every
+# call carried the number, and one may be carried out after the restart.
+def test_forgotten_ends_are_not_acknowledged_again():
+    agent = Agent()
+    agent.order(observed=7)
+    assert _answer_hold(agent) == 7
+    assert _answer_hold(agent) == 0
+    assert _answer_hold(agent, [_end(8)]) == 0
+    agent.order(observed=8)
+    assert _answer_hold(agent) == 8
+    assert _answer_hold(agent) == 0
+
+
+# Guards against ends that the worker lists for ever: the call that was to
+# acknowledge them did so in vain, or its reply left out some of them.
+def test_ends_are_acknowledged_until_the_worker_forgets_them():
+    agent = Agent()
+    agent.order(observed=7)
+    assert _answer_hold(agent, [_end(7), _end(8)]) == 7
+    assert _answer_hold(agent, [_end(8)], is_partial=True) == 7
+    assert _answer_hold(agent, [_end(8)]) == 7
+    assert _answer_hold(agent, [_end(7), _end(8)]) == 0
+    assert _answer_hold(agent, [_end(8)]) == 7
+    assert _answer_hold(agent, [_end(8)]) == 0
+
+
+# Guards against an acknowledgement that is given up without an answer.
+def test_unanswered_acknowledgement_is_repeated():
+    agent = Agent()
+    agent.order(observed=7)
+    (hold,) = agent.calls()
+    unanswered = worker_calls.HoldReply(worker_calls.CallStatus.UNKNOWN)
+    agent.supervisor.on_hold_reply(hold, unanswered, agent.now_ms)
+    assert _answer_hold(agent) == 7
+
+
 def test_orders_of_a_deposed_leader_are_ignored():
     agent = Agent()
     agent.supervisor.follow(GENERATION + 1, agent.now_ms)
