--- a/packages/mulberryloom-standins/tests/test_job_simulation.py
+++ b/packages/mulberryloom-standins/tests/test_job_simulation.py
@@ -238,6 +238,41 @@
             trials.run_trial(seed, is_following=False)
 
 
+# Guards against starts after a task is done: a restarted worker carries out
+# the acknowledgement of ends of its earlier incarnation.
+@pytest.mark.parametrize('seed', [960_028, 960_043])
+def test_late_acknowledgement_at_a_restarted_worker_hides_no_end(seed):
+    trials.run_trial(seed, has_late_calls_at_successors=True)
+
+
+# Guards against starts after a task is done: a restarted worker carries out
+# the start of a run that is over.
+@pytest.mark.parametrize('seed', [960_004, 960_055])
+def test_late_start_at_a_restarted_worker_begins_no_run(seed):
+    trials.run_trial(seed, has_late_calls_at_successors=True)
+
+
+# Guards against a simulation in which the reports of an agent's earlier
+# process always arrive before those of the next one.
+def test_held_reports_arrive_after_those_of_the_next_process():
+    world = _world()
+    agent, leader = world.agents[0], world.entry.leader
+    earlier_node = agent.node
+    reporting_nodes = []
+    on_report = leader.on_report
+
+    def record_node(node, *given):
+        reporting_nodes.append(node)
+        on_report(node, *given)
+
+    leader.on_report = record_node
+    world.overtake_reports(agent, is_vm_restarted=False)
+    world.run(3_000)
+    later = reporting_nodes[reporting_nodes.index(agent.node) :]
+    assert agent.node != earlier_node
+    assert earlier_node in later
+
+
 def _submit_for(world, duration_ms):
     """Submit a job with one short task every 200 ms."""
     for number in range(duration_ms // 200):
