Judge starts after a success by the ends that came before them

The simulation's oracle compared run numbers: it missed the late start of a run with a lower number than that of the run that had ended done, and kept only the last start of a task. The rule asks only whether that end came first and is acknowledged then or later.

--- a/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/oracle.py
+++ b/packages/mulberryloom-standins/src/mulberryloom_standins/jobs/oracle.py
@@ -1,6 +1,7 @@
 """Invariants of the job path, checked on the runs of simulated workers."""
 
 import collections
+import typing as t
 
 from mulberryloom_core.request import jobs
 
@@ -8,6 +9,8 @@
 from .worker import WorkerStandIn
 
 
+#: Worker, start of its incarnation, and number of the end there.
+_EndKey: t.TypeAlias = tuple[str, int, int]
 #: Time after the answer to an evacuation from which no task may start in the
 #: data centre.
 EVACUATION_BOUND_MS = 5_000
@@ -48,15 +51,17 @@
         self._acknowledged_failures: collections.Counter[str] = (
             collections.Counter()
         )
-        # Last start after a success that was not acknowledged yet, by task:
-        # number of the run and where it started.
-        self._start_after_done: dict[str, tuple[int, str]] = {}
+        #: Ends of successful runs, by task.
+        self._done_ends_by_task: dict[str, set[_EndKey]] = {}
+        #: Start after which an end of a successful run was not to be
+        #: acknowledged any more, by that end.
+        self._start_by_done_end: dict[_EndKey, str] = {}
         self._crashes: collections.Counter[str] = collections.Counter()
         self._starts_after_crash_limit: collections.Counter[str] = (
             collections.Counter()
         )
-        # (worker, boot, sequence) of the ends that were taken into account.
-        self._counted_ends: set[tuple[str, int, int]] = set()
+        #: Acknowledged ends that were taken into account.
+        self._counted_ends: set[_EndKey] = set()
 
     def check_start(
         self, worker: WorkerStandIn, run: WorkerRun, now_ms: int
@@ -71,8 +76,8 @@
             raise Violation(f'{where}: job {job_id} was never submitted')
         if run.task in self._acknowledged_done:
             raise Violation(f'{where}: started after the task was done')
-        if run.task in self.done_tasks:
-            self._start_after_done[run.task] = run.number, where
+        for end_key in self._done_ends_by_task.get(run.task, ()):
+            self._start_by_done_end.setdefault(end_key, where)
         if self._acknowledged_failures[run.task] >= self.max_attempts:
             raise Violation(
                 f'{where}: started after {self.max_attempts} failed attempts'
@@ -173,6 +178,9 @@
         for end in worker.ends:
             if end.how == jobs.RunEnd.DONE.value:
                 self.done_tasks.add(end.task)
+                self._done_ends_by_task.setdefault(end.task, set()).add(
+                    (worker.worker, worker.boot, end.sequence)
+                )
 
     def record_acknowledged(
         self, worker: WorkerStandIn, observed: int
@@ -193,8 +201,8 @@
                 continue
             if end.how == jobs.RunEnd.DONE.value:
                 self._acknowledged_done.add(end.task)
-                number, where = self._start_after_done.get(end.task, (0, ''))
-                if end.run_number < number:
+                where = self._start_by_done_end.get(key)
+                if where is not None:
                     raise Violation(
                         f'{where}: started after run {end.run_number} was '
                         'done, which was acknowledged later'
