--- a/Makefile
+++ b/Makefile
@@ -54,6 +54,7 @@
 	$(BIN)/python -m mulberryloom_standins.fuzz --examples $(SEEDS)
 
 # Faults around the real programs; the logs of broken seeds stay in target/soak.
+soak: SEEDS = 50
 soak: setup
 	cd platform/tests && $(CURDIR)/$(BIN)/python -m soak --seeds $(SEEDS) \
 		--first-seed $(FIRST_SEED) --parallel 3 \
