--- a/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_candidates.py
+++ b/packages/mulberryloom-agent/src/mulberryloom_agent/jobs/worker_candidates.py
@@ -15,8 +15,8 @@
 
 #: Limit of the candidates; the one that was added first is dropped first.
 MAX_CANDIDATES = 8
-#: Limit of the descriptions of a candidate; the one of which fewest heartbeats
-#: came is dropped first.
+#: Limit of the descriptions of a candidate; the one with the fewest heartbeats
+#: is dropped first.
 MAX_DESCRIPTIONS = 4
 
 _log = structlog.get_logger(__name__)
@@ -41,7 +41,7 @@
     """An incarnation that has not answered a call.
 
     :param description_by_fields: its heartbeats by their fixed fields, the
-        latest heard of last.
+        latest one last.
     :param call_id: hold call that is open; ``0`` for none.
     :param sent_ms: when the last such call was sent.
     :param next_attempt_ms: earliest time of the next call.
@@ -71,7 +71,7 @@
 
     @property
     def _likeliest(self) -> Description:
-        """Most heard of description, as an answer confirms none of them."""
+        """Description with the most heartbeats; no answer confirms one."""
         latest_first = reversed(self.description_by_fields.values())
         return max(latest_first, key=lambda found: found.count)
 
