Take back that jobs wait for their untracked runs

The commit held the whole job back, and all starts on the worker that lists the run, for as long as the list stays.

--- a/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
+++ b/packages/mulberryloom-entry/src/mulberryloom_entry/jobs/leader.py
@@ -366,7 +366,6 @@
         A start that the agent has not processed yet is kept, since it may
         still be carried out once the worker answers again.
         """
-        link.unknown_runs.clear()
         for run in list(link.capacity.run_by_key.values()):
             if not run.is_recorded:
                 continue
@@ -543,9 +542,6 @@
                 self._run_ends.set_checkpoint(run, item.checkpoint)
                 self._records.mark_checkpointed(run.job.job_id, now_ms)
         link.sent_stops &= set(link.capacity.run_by_key) | link.unknown_runs
-        if link.unknown_runs:
-            # What they occupy is not known.
-            link.capacity.is_accepting = False
 
     def _on_ends(
         self,
@@ -667,15 +663,10 @@
         self._worker_speeds.begin_round(capacities)
         found = (self._records.find(job_id) for job_id in self._known_job_ids)
         # A job with an end is final; its tasks need not be looked at.
-        # One with an untracked run waits until that is stopped.
-        jobs_with_untracked_runs = self._jobs_with_untracked_runs()
         open_jobs = [
             job
             for job in found
-            if job
-            and not job.ended_ms
-            and not job.state.is_final
-            and job.job_id not in jobs_with_untracked_runs
+            if job and not job.ended_ms and not job.state.is_final
         ]
         plan = self._planner.plan(
             open_jobs,
@@ -703,15 +694,6 @@
             self._start_run(start, now_ms, wall_ms)
         self._record_blocked_steps(plan.blocked)
 
-    def _jobs_with_untracked_runs(self) -> set[str]:
-        """Return the ids of the jobs of which a worker lists such runs."""
-        return {
-            parsed[0]
-            for link in self._link_by_key.values()
-            for task, _ in link.unknown_runs
-            if (parsed := jobs.parse_task_name(task)) is not None
-        }
-
     def _record_blocked_steps(self, blocked: list[plans.Blocked]) -> None:
         """Record why steps wait, whenever the reason changes."""
         reason_by_step = {
